--- a/test/standins/caller.cpp
+++ b/test/standins/caller.cpp
@@ -118,11 +118,16 @@
     result.request_id = std::string(parser.get()["X-Request-Id"]);
     const std::string retry(parser.get()[http::field::retry_after]);
     result.retry_after = retry.empty() ? 0 : std::stol(retry);
+    std::size_t seen = 0;
     while (!parser.is_done() && !error)
     {
         const auto [failed, read] =
             co_await http::async_read_some(stream, buffer, parser, as_result);
         error = failed;
+        const std::string_view body = parser.get().body();
+        if (what.on_piece && body.size() > seen)
+            what.on_piece(body.substr(seen));
+        seen = body.size();
         if (result.first_token_seconds == 0 && !parser.get().body().empty())
             result.first_token_seconds = seconds_since(start);
     }
--- a/test/standins/caller.hpp
+++ b/test/standins/caller.hpp
@@ -22,6 +22,8 @@
     std::chrono::milliseconds timeout{60000};
     /// Leaves after this time without reading on; zero for never.
     std::chrono::milliseconds leave_after{0};
+    /// Called with each piece of the answer's body as it arrives.
+    std::function<void(std::string_view)> on_piece{};
 };
 
 struct answer
