Fair shares: an account that waits elsewhere is not lifted

Cause: a request moved to another shard for fairness found its account 'idle' there and lifted it to that shard's system time, which forgave what the fleet owed it. Service reports now say whose requests wait where, moved requests are never lifted, and a real lift travels with the report.

--- a/packages/core/include/sycamorelock/core/fair_queue.hpp
+++ b/packages/core/include/sycamorelock/core/fair_queue.hpp
@@ -57,8 +57,17 @@
     void set_weight(account_id account, double weight);
     [[nodiscard]] double weight(account_id account) const;
 
+    /// Whether an account without waiting requests is lifted to the system
+    /// time when one comes: yes if it was idle in the whole fleet.
+    enum class return_from : std::uint8_t
+    {
+        idling,
+        waiting_elsewhere,
+    };
+
     /// Adds a request; returns false when it already waits.
-    bool push(const waiting_request& request);
+    bool push(const waiting_request& request,
+              return_from from = return_from::idling);
 
     /// The request to serve next, or null when nothing waits.
     [[nodiscard]] const waiting_request* front() const;
@@ -95,6 +104,7 @@
     [[nodiscard]] double backlogged_weight() const { return active_weight_; }
     [[nodiscard]] std::vector<std::pair<account_id, virtual_time>>
     virtual_times() const;
+    [[nodiscard]] std::vector<account_id> backlogged() const;
 
     /// Removes and returns requests whose deadline has passed.
     std::vector<waiting_request> expire(time_point now);
--- a/packages/core/include/sycamorelock/core/messages.hpp
+++ b/packages/core/include/sycamorelock/core/messages.hpp
@@ -161,6 +161,11 @@
         /// Part of the total that is newer than the previous report. Used by
         /// a receiver that has not seen an earlier total.
         std::int64_t delta = 0;
+        /// Whether requests of the account wait at the sender.
+        bool waiting = false;
+        /// Virtual time that the account was lifted to since the previous
+        /// report; zero if it was not.
+        virtual_time floor{0};
     };
     shard_id shard;
     /// Start of the totals; changes when the scheduler loses them.
--- a/packages/core/include/sycamorelock/core/shard_scheduler.hpp
+++ b/packages/core/include/sycamorelock/core/shard_scheduler.hpp
@@ -28,7 +28,7 @@
     /// Virtual time by which a peer must be ahead before work moves to it for
     /// fairness alone.
     virtual_time move_margin{500};
-    std::uint32_t move_burst = 4;
+    std::uint32_t move_burst = 64;
     duration moved_for = std::chrono::seconds(3);
     /// Off for the baseline without exchange between schedulers.
     bool exchange = true;
@@ -103,6 +103,8 @@
     {
         std::uint32_t epoch = 0;
         std::map<account_id, std::int64_t> totals;
+        /// Accounts with requests waiting there, and until when that holds.
+        std::map<account_id, time_point> waiting;
     };
 
     void serve(time_point now);
@@ -122,6 +124,10 @@
     void advertise(time_point now, bool due);
     void report_service(time_point now);
     void follow_peers(time_point now);
+    [[nodiscard]] bool waits_elsewhere(time_point now,
+                                       account_id account) const;
+    void enqueue_fairly(time_point now, const waiting_request& request);
+    [[nodiscard]] std::vector<account_id> accounts_to_report();
 
     shard_id id_;
     scheduler_options options_;
@@ -139,6 +145,8 @@
     std::map<shard_id, totals_seen> seen_;
     std::map<account_id, std::int64_t> totals_;
     std::map<account_id, std::int64_t> unreported_;
+    std::set<account_id> reported_waiting_;
+    std::map<account_id, virtual_time> lifted_;
     time_point granting_from_;
     time_point next_advert_;
     time_point next_report_;
--- a/packages/core/lib/fair_queue.cpp
+++ b/packages/core/lib/fair_queue.cpp
@@ -78,7 +78,7 @@
     return found == accounts_.end() ? 1 : found->second.weight;
 }
 
-bool fair_queue::push(const waiting_request& request)
+bool fair_queue::push(const waiting_request& request, return_from from)
 {
     if (index_.contains(request.id))
         return false;
@@ -87,7 +87,8 @@
     {
         // An account that comes back from idling starts level with the
         // backlogged ones: idling earns no credit.
-        state.at = std::max(state.at, system_time_);
+        if (from == return_from::idling)
+            state.at = std::max(state.at, system_time_);
         active_weight_ += state.weight;
     }
     // With arrival order urgency is ignored, also within an account.
@@ -217,6 +218,15 @@
     return result;
 }
 
+std::vector<account_id> fair_queue::backlogged() const
+{
+    std::vector<account_id> result;
+    result.reserve(turns_.size());
+    for (const turn& each : turns_)
+        result.push_back(each.second);
+    return result;
+}
+
 std::vector<waiting_request> fair_queue::expire(time_point now)
 {
     std::vector<waiting_request> expired;
--- a/packages/core/lib/shard_exchange.cpp
+++ b/packages/core/lib/shard_exchange.cpp
@@ -13,6 +13,8 @@
 
 /// Age after which an advert says nothing any more.
 constexpr duration advert_lifetime = std::chrono::seconds(3);
+/// The same for a report that an account waits.
+constexpr duration waiting_lifetime = std::chrono::seconds(4);
 /// Size of one item of a service report on the wire, measured by --slopes.
 constexpr std::size_t report_item_bytes = 16;
 constexpr std::size_t report_header_bytes = 80;
@@ -60,6 +62,35 @@
     queue_.raise_system_time(*least);
 }
 
+bool shard_scheduler::waits_elsewhere(time_point now, account_id account) const
+{
+    for (const auto& [shard, seen] : seen_)
+    {
+        const auto found = seen.waiting.find(account);
+        if (found != seen.waiting.end() && now < found->second)
+            return true;
+    }
+    return false;
+}
+
+void shard_scheduler::enqueue_fairly(time_point now,
+                                     const waiting_request& request)
+{
+    const account_id account = request.account;
+    if (queue_.size_of(account) == 0)
+        follow_peers(now);
+    // Being out of work here is not idling while requests wait elsewhere: a
+    // lift would forgive what the fleet owes the account.
+    const bool busy =
+        options_.exchange && (request.moved || waits_elsewhere(now, account));
+    const virtual_time before = queue_.at(account);
+    queue_.push(request, busy ? fair_queue::return_from::waiting_elsewhere
+                              : fair_queue::return_from::idling);
+    const virtual_time after = queue_.at(account);
+    if (after > before)
+        lifted_[account] = after;
+}
+
 void shard_scheduler::on_message(time_point now, instance_id from,
                                  const advert& message)
 {
@@ -156,29 +187,61 @@
         out_.send(peer.owner, message);
 }
 
-void shard_scheduler::report_service(time_point now)
+std::vector<account_id> shard_scheduler::accounts_to_report()
 {
-    if (!options_.exchange || now < next_report_ || peers_.empty())
-        return;
     std::erase_if(unreported_, [](const auto& u) { return u.second == 0; });
-    if (unreported_.empty())
-        return;
     // The largest movers first: they shift shares the most.
     std::vector<std::pair<std::int64_t, account_id>> movers;
     for (const auto& [account, amount] : unreported_)
         movers.emplace_back(-std::abs(amount), account);
+    const auto backlogged = queue_.backlogged();
+    const std::set<account_id> waiting(backlogged.begin(), backlogged.end());
+    for (const account_id account : waiting)
+    {
+        if (!unreported_.contains(account))
+            movers.emplace_back(0, account);
+    }
+    for (const account_id account : reported_waiting_)
+    {
+        if (!waiting.contains(account) && !unreported_.contains(account))
+            movers.emplace_back(0, account);
+    }
     std::sort(movers.begin(), movers.end());
     if (movers.size() > options_.max_report_items)
         movers.resize(options_.max_report_items);
+    std::vector<account_id> accounts;
+    for (const auto& [amount, account] : movers)
+        accounts.push_back(account);
+    return accounts;
+}
+
+void shard_scheduler::report_service(time_point now)
+{
+    if (!options_.exchange || now < next_report_ || peers_.empty())
+        return;
     service_report message;
     message.shard = id_;
     message.epoch = epoch_;
-    for (const auto& [amount, account] : movers)
+    for (const account_id account : accounts_to_report())
     {
-        message.items.push_back(
-            {account, totals_[account], unreported_[account]});
+        service_report::item item;
+        item.account = account;
+        item.total = totals_[account];
+        item.delta = unreported_[account];
+        item.waiting = queue_.size_of(account) > 0;
+        const auto lifted = lifted_.find(account);
+        if (lifted != lifted_.end())
+            item.floor = queue_.at(account);
+        if (item.waiting)
+            reported_waiting_.insert(account);
+        else
+            reported_waiting_.erase(account);
+        lifted_.erase(account);
         unreported_.erase(account);
+        message.items.push_back(item);
     }
+    if (message.items.empty())
+        return;
     for (const auto& [shard, peer] : peers_)
         out_.send(peer.owner, message);
     const std::size_t bytes =
@@ -200,7 +263,7 @@
         return;
     totals_seen& seen = seen_[message.shard];
     if (seen.epoch != message.epoch)
-        seen = {message.epoch, {}};
+        seen = {message.epoch, {}, {}};
     for (const service_report::item& item : message.items)
     {
         const auto before = seen.totals.find(item.account);
@@ -209,6 +272,12 @@
                                       : item.total - before->second;
         seen.totals[item.account] = item.total;
         queue_.import(item.account, cost(news));
+        if (item.floor.value() > 0)
+            queue_.adopt(item.account, item.floor);
+        if (item.waiting)
+            seen.waiting[item.account] = now + waiting_lifetime;
+        else
+            seen.waiting.erase(item.account);
     }
     move_work(now);
 }
--- a/packages/core/lib/shard_scheduler.cpp
+++ b/packages/core/lib/shard_scheduler.cpp
@@ -109,7 +109,7 @@
     return false;
 }
 
-void shard_scheduler::on_message(time_point now, instance_id from,
+void shard_scheduler::on_message(time_point now, instance_id,
                                  const enqueue& message)
 {
     auto& clock = entry_clocks_[message.request.entry];
@@ -136,8 +136,6 @@
     if (!message.moved && refused(now, entry, message))
         return;
 
-    if (queue_.size_of(message.account) == 0)
-        follow_peers(now);
     waiting_request request;
     request.id = message.request;
     request.attempt = message.attempt;
@@ -148,8 +146,7 @@
     request.enqueued = now;
     request.prefix = message.prefix;
     request.moved = message.moved;
-    queue_.push(request);
-    (void)from;
+    enqueue_fairly(now, request);
     serve(now);
 }
 
--- a/packages/core/unittests/fair_queue_test.cpp
+++ b/packages/core/unittests/fair_queue_test.cpp
@@ -5,7 +5,8 @@
 
 using namespace sycamorelock::core;
 
-namespace {
+namespace
+{
 
 const account_id small = account_id::of("small");
 const account_id large = account_id::of("large");
--- a/packages/core/unittests/fake_fleet.cpp
+++ b/packages/core/unittests/fake_fleet.cpp
@@ -3,9 +3,11 @@
 
 #include <boost/random/uniform_int_distribution.hpp>
 
-namespace sycamorelock::core::testing {
+namespace sycamorelock::core::testing
+{
 
-namespace {
+namespace
+{
 constexpr duration step = std::chrono::milliseconds(10);
 constexpr duration tick_period = std::chrono::milliseconds(50);
 constexpr std::int64_t wall_base_ms = 1'700'000'000'000;
@@ -22,10 +24,7 @@
             fleet->on_send(index, to, std::move(messages));
         }
         void act(const action& what) { fleet->on_action(index, what); }
-        void note(const event& happened)
-        {
-            ++fleet->events_[happened.number];
-        }
+        void note(const event& happened) { ++fleet->events_[happened.number]; }
     };
     std::string name;
     std::size_t domain = 0;
@@ -41,8 +40,7 @@
 };
 
 fake_fleet::fake_fleet(plan made)
-    : plan_(std::move(made)),
-      random_(static_cast<std::uint32_t>(plan_.seed))
+    : plan_(std::move(made)), random_(static_cast<std::uint32_t>(plan_.seed))
 {
     const std::size_t count = plan_.domains * plan_.instances_per_domain;
     for (std::size_t i = 0; i < count; ++i)
@@ -147,12 +145,15 @@
     options.incarnation = which.incarnation;
     options.seed = which.incarnation;
     options.mode = plan_.mode;
-    which.core = std::make_unique<node<fake_node::sink>>(options, current(),
-                                                         which.out);
-    which.core->handle(current(), [&](control_state& s) {
-        s.install_membership(current(), current_list_, "list");
-        s.install_config(current(), make_tree(), "tree");
-    });
+    which.core =
+        std::make_unique<node<fake_node::sink>>(options, current(), which.out);
+    which.core->handle(current(),
+                       [&](control_state& s)
+                       {
+                           s.install_membership(current(), current_list_,
+                                                "list");
+                           s.install_config(current(), make_tree(), "tree");
+                       });
 }
 
 bool fake_fleet::chance(unsigned percent)
@@ -193,7 +194,8 @@
     for (packet& each : due)
     {
         std::size_t to = 0;
-        while (to < nodes_.size() && instance_id::of(nodes_[to]->name) != each.to)
+        while (to < nodes_.size() &&
+               instance_id::of(nodes_[to]->name) != each.to)
             ++to;
         if (to == nodes_.size() || !nodes_[to]->live)
             continue;
@@ -212,12 +214,15 @@
         if (replayed)
             continue;
         seen = {each.incarnation, each.sequence};
-        receiver.core->handle(current(), [&](control_state& s) {
-            for (const peer_message& content : each.messages)
-                s.receive(current(),
-                          instance_id::of(nodes_[each.from]->name),
-                          each.incarnation, content);
-        });
+        receiver.core->handle(
+            current(),
+            [&](control_state& s)
+            {
+                for (const peer_message& content : each.messages)
+                    s.receive(current(),
+                              instance_id::of(nodes_[each.from]->name),
+                              each.incarnation, content);
+            });
     }
 }
 
@@ -238,8 +243,8 @@
         return;
     }
     ++known.runs;
-    boost::random::uniform_int_distribution<std::int64_t> draw(
-        plan_.least_cost, plan_.most_cost);
+    boost::random::uniform_int_distribution<std::int64_t> draw(plan_.least_cost,
+                                                               plan_.most_cost);
     const std::int64_t total = draw(random_);
     made.result.total = cost(total);
     made.result.end = chance(chances_.fails) ? attempt_end::failed_before_answer
@@ -287,9 +292,8 @@
             ++known.completed;
             known.ended = now_;
         }
-        owner.core->handle(current(), [&](control_state& s) {
-            s.finish(current(), each.result);
-        });
+        owner.core->handle(current(), [&](control_state& s)
+                           { s.finish(current(), each.result); });
     }
 }
 
@@ -297,16 +301,16 @@
 {
     for (auto it = late_lists_.begin(); it != late_lists_.end();)
     {
-        const bool ready =
-            it->due <= now_ && nodes_[it->node]->live && !nodes_[it->node]->paused;
+        const bool ready = it->due <= now_ && nodes_[it->node]->live &&
+                           !nodes_[it->node]->paused;
         if (!ready)
         {
             ++it;
             continue;
         }
-        nodes_[it->node]->core->handle(current(), [&](control_state& s) {
-            s.install_membership(current(), it->list, "list");
-        });
+        nodes_[it->node]->core->handle(
+            current(), [&](control_state& s)
+            { s.install_membership(current(), it->list, "list"); });
         it = late_lists_.erase(it);
     }
 }
@@ -325,9 +329,8 @@
             if (!each->live || each->paused || now_ < each->next_tick)
                 continue;
             each->next_tick = now_ + tick_period;
-            each->core->handle(current(), [&](control_state& s) {
-                s.tick(current());
-            });
+            each->core->handle(current(),
+                               [&](control_state& s) { s.tick(current()); });
         }
     }
 }
@@ -353,9 +356,8 @@
     made.entry = entry;
     made.submitted = now_;
     outcomes_.emplace(wanted.id, made);
-    target.core->handle(current(), [&](control_state& s) {
-        s.submit(current(), wanted);
-    });
+    target.core->handle(current(),
+                        [&](control_state& s) { s.submit(current(), wanted); });
     return wanted.id;
 }
 
@@ -421,9 +423,8 @@
             ++outcomes_.at(result.request).completed;
             outcomes_.at(result.request).ended = now_;
         }
-        which.core->handle(current(), [&](control_state& s) {
-            s.finish(current(), result);
-        });
+        which.core->handle(current(), [&](control_state& s)
+                           { s.finish(current(), result); });
     }
     which.results.clear();
 }
@@ -444,8 +445,8 @@
     boost::random::uniform_int_distribution<std::int64_t> draw(
         0, most_lag.count());
     for (std::size_t i = 0; i < nodes_.size(); ++i)
-        late_lists_.push_back({now_ + duration(draw(random_)), i,
-                               current_list_});
+        late_lists_.push_back(
+            {now_ + duration(draw(random_)), i, current_list_});
 }
 
 int fake_fleet::events(event_number number) const
--- a/packages/core/unittests/fake_fleet.hpp
+++ b/packages/core/unittests/fake_fleet.hpp
@@ -10,7 +10,8 @@
 #include <string>
 #include <vector>
 
-namespace sycamorelock::core::testing {
+namespace sycamorelock::core::testing
+{
 
 /// Chances in percent of what the network does to one batch of messages, and
 /// of how an attempt ends.
@@ -64,12 +65,10 @@
 
     /// Runs the fleet for a while in steps of ten milliseconds.
     void advance(duration length);
-    request_id submit(std::size_t entry, std::size_t account,
-                      bool idempotent = true,
-                      std::optional<idempotency_key> key = {},
-                      std::uint8_t urgency = 3,
-                      std::chrono::milliseconds deadline =
-                          std::chrono::milliseconds(60000));
+    request_id submit(
+        std::size_t entry, std::size_t account, bool idempotent = true,
+        std::optional<idempotency_key> key = {}, std::uint8_t urgency = 3,
+        std::chrono::milliseconds deadline = std::chrono::milliseconds(60000));
     idempotency_key make_key(std::size_t account, std::uint64_t number);
 
     void kill(std::size_t index);
--- a/packages/core/unittests/key_owner_test.cpp
+++ b/packages/core/unittests/key_owner_test.cpp
@@ -5,7 +5,8 @@
 
 using namespace sycamorelock::core;
 
-namespace {
+namespace
+{
 
 constexpr wall_time start(1'700'000'000'000);
 
@@ -96,8 +97,8 @@
     const auto key = key_made(now + std::chrono::milliseconds(1900));
     cr_assert(owner.claim_key(now, start, make(key, 1)) ==
               claim_verdict::granted);
-    const wall_time last = now + std::chrono::minutes(15) +
-                           std::chrono::milliseconds(1800);
+    const wall_time last =
+        now + std::chrono::minutes(15) + std::chrono::milliseconds(1800);
     owner.expire(last);
     cr_assert(owner.claim_key(last, start, make(key, 2)) ==
               claim_verdict::duplicate);
@@ -131,7 +132,7 @@
         cr_assert(owner.claim_key(now, start, make(key, 1)) ==
                   claim_verdict::granted);
     }
-    cr_assert(owner.claim_key(now, start, make(key_made(now + wall_time(9)),
-                                               1)) ==
-              claim_verdict::table_full);
+    cr_assert(
+        owner.claim_key(now, start, make(key_made(now + wall_time(9)), 1)) ==
+        claim_verdict::table_full);
 }
--- a/packages/core/unittests/random_test.cpp
+++ b/packages/core/unittests/random_test.cpp
@@ -13,7 +13,8 @@
 using namespace sycamorelock::core;
 using namespace sycamorelock::core::testing;
 
-namespace {
+namespace
+{
 
 /// One thing that happens; `a` and `b` are reduced to valid ranges.
 struct happening
@@ -42,12 +43,14 @@
         if (up)
             fleet.submit(node, account, false);
         return;
-    case 4: {
+    case 4:
+    {
         // One key through several instances at once and a little later.
         const idempotency_key key = fleet.make_key(account, what.b);
         for (std::size_t i = 0; i < 3; ++i)
         {
-            const std::size_t through = (node + i * (what.b % 3 + 1)) % fleet.size();
+            const std::size_t through =
+                (node + i * (what.b % 3 + 1)) % fleet.size();
             if (fleet.running(through))
                 fleet.submit(through, account, false, key);
             if (what.b % 2 == 0)
@@ -71,9 +74,8 @@
         fleet.cut_domain(what.a % 3, what.b % 2 == 0);
         return;
     case 10:
-        fleet.publish_members(what.b % 3 == 0
-                                  ? std::set<std::size_t>{}
-                                  : std::set<std::size_t>{node},
+        fleet.publish_members(what.b % 3 == 0 ? std::set<std::size_t>{}
+                                              : std::set<std::size_t>{node},
                               std::chrono::seconds(4));
         return;
     default:
@@ -112,11 +114,10 @@
 
 void check_invariants(fake_fleet& fleet)
 {
-    for (const event_number number :
-         {event_number::invariant_double_end,
-          event_number::invariant_double_grant,
-          event_number::invariant_system_time_back,
-          event_number::invariant_version_down})
+    for (const event_number number : {event_number::invariant_double_end,
+                                      event_number::invariant_double_grant,
+                                      event_number::invariant_system_time_back,
+                                      event_number::invariant_version_down})
         RC_ASSERT(fleet.events(number) == 0);
 }
 
@@ -151,8 +152,7 @@
 rc::Gen<happening> any_happening()
 {
     return rc::gen::build<happening>(
-        rc::gen::set(&happening::kind,
-                     rc::gen::inRange(0, happening_kinds)),
+        rc::gen::set(&happening::kind, rc::gen::inRange(0, happening_kinds)),
         rc::gen::set(&happening::a, rc::gen::inRange(0U, 100000U)),
         rc::gen::set(&happening::b, rc::gen::inRange(0U, 100000U)));
 }
@@ -165,7 +165,8 @@
 
 } // namespace
 
-namespace rc {
+namespace rc
+{
 template <> struct Arbitrary<happening>
 {
     static Gen<happening> arbitrary() { return any_happening(); }
@@ -174,22 +175,24 @@
 
 Test(random, each_request_ends_once_and_truthfully)
 {
-    const bool held = rc::check(
-        "every request ends once, and what is said of it is true",
-        [](const std::vector<happening>& script) {
-            const auto seed = *rc::gen::inRange(1U, 1000000U);
-            run_script(script, seed, {5, 5, 10, 5, 5});
-        });
+    const bool held =
+        rc::check("every request ends once, and what is said of it is true",
+                  [](const std::vector<happening>& script)
+                  {
+                      const auto seed = *rc::gen::inRange(1U, 1000000U);
+                      run_script(script, seed, {5, 5, 10, 5, 5});
+                  });
     cr_assert(held);
 }
 
 Test(random, the_same_without_losses_in_the_network)
 {
-    const bool held = rc::check(
-        "the same with failures of processes only",
-        [](const std::vector<happening>& script) {
-            const auto seed = *rc::gen::inRange(1U, 1000000U);
-            run_script(script, seed, {0, 0, 0, 5, 5});
-        });
+    const bool held = rc::check("the same with failures of processes only",
+                                [](const std::vector<happening>& script)
+                                {
+                                    const auto seed =
+                                        *rc::gen::inRange(1U, 1000000U);
+                                    run_script(script, seed, {0, 0, 0, 5, 5});
+                                });
     cr_assert(held);
 }
--- a/packages/core/unittests/regression_test.cpp
+++ b/packages/core/unittests/regression_test.cpp
@@ -6,7 +6,8 @@
 using namespace sycamorelock::core;
 using namespace sycamorelock::core::testing;
 
-namespace {
+namespace
+{
 
 constexpr std::chrono::seconds longest(90);
 
--- a/packages/wire/lib/convert.cpp
+++ b/packages/wire/lib/convert.cpp
@@ -365,6 +365,8 @@
         out.set_account(item.account.value());
         out.set_total(item.total);
         out.set_delta(item.delta);
+        out.set_waiting(item.waiting);
+        out.set_floor(item.floor.value());
     }
 }
 
@@ -377,7 +379,8 @@
     for (const pb::ServiceReport::Item& item : from.items())
         to.items.push_back({core::account_id(item.account()),
                             bounded(item.total(), max_total, "total"),
-                            bounded(item.delta(), max_cost, "delta")});
+                            bounded(item.delta(), max_cost, "delta"),
+                            item.waiting(), read_virtual(item.floor())});
     return to;
 }
 
--- a/utils/measurement/measure.cpp
+++ b/utils/measurement/measure.cpp
@@ -13,11 +13,13 @@
 #include <iostream>
 #include <random>
 
-namespace measurement {
+namespace measurement
+{
 
 int run_slopes();
 
-namespace {
+namespace
+{
 
 using namespace standin;
 using clock = std::chrono::steady_clock;
@@ -67,8 +69,11 @@
                     {"large3", 2, 120, {}},
                     {"flood", 1, atlas ? 160 : 300, {}}};
     for (int i = 1; i <= 12; ++i)
-        made.senders.push_back({"small" + std::to_string(i), 1, 1,
-                                {static_cast<std::size_t>(i % 6)}, true});
+        made.senders.push_back({"small" + std::to_string(i),
+                                1,
+                                1,
+                                {static_cast<std::size_t>(i % 6)},
+                                true});
     return made;
 }
 
@@ -147,7 +152,8 @@
             tally_.once_marks.push_back(made.mark);
         }
         bool began = false;
-        made.on_piece = [&](std::string_view piece) {
+        made.on_piece = [&](std::string_view piece)
+        {
             trace.tokens += std::count(piece.begin(), piece.end(), '\n') / 2;
             if (began)
                 return;
@@ -239,16 +245,15 @@
 }
 
 /// Light load through the router and straight to an endpoint, in turns.
-std::pair<double, double> added_latency(fleet& running,
-                                        const deployment& plan)
+std::pair<double, double> added_latency(fleet& running, const deployment& plan)
 {
     std::vector<double> routed;
     std::vector<double> direct;
     for (int i = 0; i < 300; ++i)
     {
-        const call through = running.make_call(
-            static_cast<std::size_t>(i) % running.instances().size(),
-            "small1", plan.plain);
+        const call through = running.make_call(static_cast<std::size_t>(i) %
+                                                   running.instances().size(),
+                                               "small1", plan.plain);
         routed.push_back(ask_now(through).seconds * 1000);
         call straight = through;
         straight.to = running.endpoints(plan.plain).front()->address();
@@ -288,23 +293,20 @@
 {
     const auto slots = static_cast<double>(engines * planner_slots);
     const double tokens_per_second =
-        slots /
-        std::chrono::duration<double>(token_step +
-                                      token_step_per_request *
-                                          static_cast<long>(planner_slots - 1))
-            .count();
+        slots / std::chrono::duration<double>(
+                    token_step + token_step_per_request *
+                                     static_cast<long>(planner_slots - 1))
+                    .count();
     double weights = 0;
     for (const sender& each : what.senders)
         weights += each.lookups ? 0 : each.weight;
     static constexpr double exchange_seconds = 1.0;
-    const double in_flight =
-        slots / weights * static_cast<double>(most_draft);
+    const double in_flight = slots / weights * static_cast<double>(most_draft);
     return 2 * in_flight + exchange_seconds * tokens_per_second / weights;
 }
 
 boost::json::object measure(const std::string& design, std::uint64_t seed,
-                            std::chrono::seconds length,
-                            const deployment& what)
+                            std::chrono::seconds length, const deployment& what)
 {
     fleet running(plan_of(what, design));
     fault delay;
@@ -339,9 +341,9 @@
         bytes_max = std::max(bytes_max, bytes);
         bytes_sum += bytes;
         cpu_max = std::max(cpu_max, (after.cpu - before[i].cpu) / seconds);
-        rss_max = std::max(rss_max,
-                           running.metric(running.at(i),
-                                          "sycamorelock_resident_bytes"));
+        rss_max =
+            std::max(rss_max, running.metric(running.at(i),
+                                             "sycamorelock_resident_bytes"));
     }
     long twice = 0;
     for (const std::string& mark : counted.once_marks)
@@ -367,8 +369,8 @@
     line["seed"] = seed;
     line["seconds"] = std::round(seconds);
     line["fairness_gap_tokens"] = std::round(fairness_gap(backlogged));
-    line["fairness_bound_tokens"] = std::round(
-        promised_bound(what, running.endpoints(what.model).size()));
+    line["fairness_bound_tokens"] =
+        std::round(promised_bound(what, running.endpoints(what.model).size()));
     line["utilisation"] = counted.busy / std::max(1.0, counted.available);
     line["control_bytes_per_second_max"] = std::round(bytes_max);
     line["control_bytes_per_second_mean"] =
@@ -398,9 +400,8 @@
 int main(int argc, char** argv)
 {
     cxxopts::Options options("measure", "Measures designs with real processes");
-    options.add_options()(
-        "design", "full, alone, fcfs, no_exchange or all",
-        cxxopts::value<std::string>()->default_value("full"))(
+    options.add_options()("design", "full, alone, fcfs, no_exchange or all",
+                          cxxopts::value<std::string>()->default_value("full"))(
         "seed", "seed of the load",
         cxxopts::value<std::uint64_t>()->default_value("1"))(
         "seconds", "length of the load",
@@ -423,8 +424,8 @@
         designs = {"full", "alone", "fcfs", "no_exchange"};
     if (designs.front() == "no-exchange")
         designs.front() = "no_exchange";
-    const auto what = measurement::deployment_of(
-        given["deployment"].as<std::string>());
+    const auto what =
+        measurement::deployment_of(given["deployment"].as<std::string>());
     std::ofstream file;
     if (given.count("json") > 0)
         file.open(given["json"].as<std::string>());
--- a/utils/measurement/slopes.cpp
+++ b/utils/measurement/slopes.cpp
@@ -1,5 +1,6 @@
 // Costs of the core and the wire codec over growing sizes.
-namespace measurement {
+namespace measurement
+{
 
 int run_slopes()
 {
--- a/utils/measurement/trace.cpp
+++ b/utils/measurement/trace.cpp
@@ -3,7 +3,8 @@
 
 #include <algorithm>
 
-namespace measurement {
+namespace measurement
+{
 
 double largest_gap(const account_trace& a, const account_trace& b)
 {
--- a/utils/measurement/trace.hpp
+++ b/utils/measurement/trace.hpp
@@ -7,7 +7,8 @@
 #include <string>
 #include <vector>
 
-namespace measurement {
+namespace measurement
+{
 
 /// Service and backlog of one account, sampled over time.
 struct account_trace
