Fair shares across shards: exchange by budget, pending moves, stock

Cause: (1) service reports came once a second whatever their size, longer than a request lasts, so shards overshot in turns; (2) all requests of an account that was behind moved at once, since what had just been moved did not count; (3) a shard asked for work only when a slot was already free. Now reports go every 250 ms within 1000 bytes/s, moved requests count as pending cost, and a shard keeps a stock of a quarter of its slots.

--- a/packages/core/include/sycamorelock/core/fair_queue.hpp
+++ b/packages/core/include/sycamorelock/core/fair_queue.hpp
@@ -3,6 +3,7 @@
 
 #include "sycamorelock/core/strong_types.hpp"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -72,9 +73,11 @@
     /// The request to serve next, or null when nothing waits.
     [[nodiscard]] const waiting_request* front() const;
 
-    /// The next request of the account whose turn comes first among those
-    /// requests that were not moved here from another shard.
-    [[nodiscard]] const waiting_request* front_not_moved() const;
+    /// First request, in the order of turns, that was not moved here from
+    /// another shard and whose account satisfies a condition.
+    using account_condition = std::function<bool(account_id, virtual_time)>;
+    [[nodiscard]] const waiting_request*
+    first_movable(const account_condition& allowed) const;
 
     std::optional<waiting_request> remove(const request_id& id);
     [[nodiscard]] bool contains(const request_id& id) const;
--- a/packages/core/include/sycamorelock/core/messages.hpp
+++ b/packages/core/include/sycamorelock/core/messages.hpp
@@ -145,7 +145,8 @@
 struct advert
 {
     shard_id shard;
-    std::uint32_t free_slots = 0;
+    /// Requests that it could take without delay or keeps too few of.
+    std::uint32_t wanted = 0;
     std::uint32_t backlog = 0;
     virtual_time next;
 };
--- a/packages/core/include/sycamorelock/core/shard_scheduler.hpp
+++ b/packages/core/include/sycamorelock/core/shard_scheduler.hpp
@@ -21,7 +21,7 @@
     duration settle = std::chrono::seconds(1);
     duration advert_period = std::chrono::seconds(1);
     duration advert_min_gap = std::chrono::milliseconds(20);
-    duration exchange_period = std::chrono::seconds(1);
+    duration exchange_period = std::chrono::milliseconds(250);
     /// Bytes a second that service reports may use; the period is stretched.
     std::size_t exchange_bytes_per_second = 1000;
     std::size_t max_report_items = 256;
@@ -29,7 +29,7 @@
     /// fairness alone.
     virtual_time move_margin{500};
     std::uint32_t move_burst = 64;
-    duration moved_for = std::chrono::seconds(3);
+    duration moved_for = std::chrono::seconds(2);
     /// Off for the baseline without exchange between schedulers.
     bool exchange = true;
 };
@@ -92,13 +92,19 @@
     struct peer_view
     {
         instance_id owner;
-        std::uint32_t free_slots = 0;
+        std::uint32_t wanted = 0;
         std::uint32_t backlog = 0;
         std::uint32_t moves_left = 0;
         virtual_time next;
         time_point at;
         bool known = false;
     };
+    struct moved_request
+    {
+        time_point until;
+        account_id account;
+        cost estimate;
+    };
     struct totals_seen
     {
         std::uint32_t epoch = 0;
@@ -123,6 +129,12 @@
                  const waiting_request& request);
     void advertise(time_point now, bool due);
     void report_service(time_point now);
+    [[nodiscard]] virtual_time with_moved(account_id account,
+                                          virtual_time at) const;
+    void forget_moved(time_point now);
+    /// Waiting requests below which a slot may idle while others send work.
+    [[nodiscard]] std::uint32_t low_water() const;
+    [[nodiscard]] std::uint32_t wanted() const;
     void follow_peers(time_point now);
     [[nodiscard]] bool waits_elsewhere(time_point now,
                                        account_id account) const;
@@ -139,7 +151,9 @@
     std::size_t max_queue_ = 0;
     std::size_t max_queue_per_account_ = 0;
     std::map<request_id, lease> leases_;
-    std::map<request_id, time_point> moved_;
+    std::map<request_id, moved_request> moved_;
+    /// Cost of moved requests that the peers' reports may not show yet.
+    std::map<account_id, cost> moved_cost_;
     std::map<instance_id, std::chrono::milliseconds> entry_clocks_;
     std::map<shard_id, peer_view> peers_;
     std::map<shard_id, totals_seen> seen_;
@@ -151,7 +165,7 @@
     time_point next_advert_;
     time_point next_report_;
     time_point advert_allowed_;
-    std::uint32_t advertised_free_ = 0;
+    std::uint32_t advertised_wanted_ = 0;
     bool advertised_backlog_ = false;
     bool snapshot_asked_ = false;
     double served_in_window_ = 0;
--- a/packages/core/lib/fair_queue.cpp
+++ b/packages/core/lib/fair_queue.cpp
@@ -111,11 +111,15 @@
     return &state.requests.begin()->second;
 }
 
-const waiting_request* fair_queue::front_not_moved() const
+const waiting_request*
+fair_queue::first_movable(const account_condition& allowed) const
 {
     for (const turn& next : turns_)
     {
-        for (const auto& [where, request] : accounts_.at(next.second).requests)
+        const account_state& state = accounts_.at(next.second);
+        if (!allowed(next.second, state.at))
+            continue;
+        for (const auto& [where, request] : state.requests)
         {
             if (request.moved)
                 continue;
--- a/packages/core/lib/shard_exchange.cpp
+++ b/packages/core/lib/shard_exchange.cpp
@@ -98,7 +98,7 @@
     if (found == peers_.end() || found->second.owner != from)
         return;
     peer_view& peer = found->second;
-    peer.free_slots = message.free_slots;
+    peer.wanted = message.wanted;
     peer.backlog = message.backlog;
     peer.next = message.next;
     peer.moves_left = options_.move_burst;
@@ -106,32 +106,60 @@
     peer.known = true;
     move_work(now);
     // Tell at once a peer with backlog that there is room here.
-    if (peer.backlog > 0 && queue_.empty() && pool_.free_slots() > 0)
+    if (peer.backlog > 0 && wanted() > 0 && advertised_wanted_ == 0)
         advertise(now, true);
 }
 
+virtual_time shard_scheduler::with_moved(account_id account,
+                                         virtual_time at) const
+{
+    const auto found = moved_cost_.find(account);
+    if (found == moved_cost_.end())
+        return at;
+    const auto pending = static_cast<double>(found->second.value());
+    return at + virtual_time(pending / queue_.weight(account));
+}
+
+void shard_scheduler::forget_moved(time_point now)
+{
+    for (auto it = moved_.begin(); it != moved_.end();)
+    {
+        if (now < it->second.until)
+        {
+            ++it;
+            continue;
+        }
+        cost& pending = moved_cost_[it->second.account];
+        pending = pending - it->second.estimate;
+        if (pending.value() <= 0)
+            moved_cost_.erase(it->second.account);
+        it = moved_.erase(it);
+    }
+}
+
 void shard_scheduler::move_work(time_point now)
 {
     for (auto& [shard, peer] : peers_)
     {
         if (!peer.known || now - peer.at > advert_lifetime)
             continue;
-        while (peer.free_slots > 0 && peer.backlog == 0 &&
-               pool_.free_slots() == 0)
+        while (peer.wanted > 0 && queue_.size() > low_water())
         {
-            const waiting_request* next = queue_.front_not_moved();
+            const waiting_request* next = queue_.first_movable(
+                [](account_id, virtual_time) { return true; });
             if (next == nullptr)
                 return;
-            --peer.free_slots;
+            --peer.wanted;
             move_to(now, shard, peer, *next);
         }
+        // An account that is behind what the peer serves next moves there. What
+        // was moved already counts, or all its requests would go at once.
+        const auto behind = [&](account_id account, virtual_time at)
+        { return with_moved(account, at) + options_.move_margin < peer.next; };
         while (options_.exchange && peer.backlog > 0 && peer.moves_left > 0)
         {
-            const waiting_request* next = queue_.front_not_moved();
+            const waiting_request* next = queue_.first_movable(behind);
             if (next == nullptr)
-                return;
-            const virtual_time mine = queue_.at(next->account);
-            if (mine + options_.move_margin >= peer.next)
                 break;
             --peer.moves_left;
             move_to(now, shard, peer, *next);
@@ -154,33 +182,55 @@
     message.prefix = request.prefix;
     message.entry_clock = entry_clocks_[request.id.entry];
     message.moved = true;
-    moved_[request.id] = now + options_.moved_for;
+    moved_[request.id] = {now + options_.moved_for, request.account,
+                          request.estimate};
+    moved_cost_[request.account] += request.estimate;
     queue_.remove(request.id);
     out_.send(peer.owner, message);
 }
 
+std::uint32_t shard_scheduler::low_water() const
+{
+    return pool_.usable_slots() / 4;
+}
+
+std::uint32_t shard_scheduler::wanted() const
+{
+    // Some requests are kept in stock, because one that is asked for when a
+    // slot is free already arrives a round trip too late.
+    const auto backlog = static_cast<std::uint32_t>(queue_.size());
+    const std::uint32_t stock = low_water();
+    // Asking only at half of it fills the stock in one go.
+    const bool low = backlog <= stock / 2;
+    return pool_.free_slots() + (low ? stock - backlog : 0);
+}
+
 void shard_scheduler::advertise(time_point now, bool due)
 {
-    const std::uint32_t free = queue_.empty() ? pool_.free_slots() : 0;
+    const std::uint32_t want = wanted();
     const bool backlog = !queue_.empty();
-    const bool changed =
-        (free > 0) != (advertised_free_ > 0) || backlog != advertised_backlog_;
-    if (due)
-        next_advert_ = now + options_.advert_period;
-    bool wanted = backlog || (changed && due);
+    const bool changed = (want > 0) != (advertised_wanted_ > 0) ||
+                         backlog != advertised_backlog_;
+    bool concerns = backlog || changed;
+    bool peer_has_backlog = false;
     for (const auto& [shard, peer] : peers_)
     {
         const bool fresh = peer.known && now - peer.at < advert_lifetime;
-        wanted = wanted || (fresh && peer.backlog > 0);
+        peer_has_backlog = peer_has_backlog || (fresh && peer.backlog > 0);
     }
-    if (!wanted || (!due && !changed) || now < advert_allowed_)
+    // As long as others have work to give, each want is told at once.
+    const bool asks = want > 0 && peer_has_backlog;
+    concerns = concerns || peer_has_backlog;
+    if (due)
+        next_advert_ = now + options_.advert_period;
+    if (!concerns || (!due && !changed && !asks) || now < advert_allowed_)
         return;
     advert_allowed_ = now + options_.advert_min_gap;
-    advertised_free_ = free;
+    advertised_wanted_ = want;
     advertised_backlog_ = backlog;
     advert message;
     message.shard = id_;
-    message.free_slots = free;
+    message.wanted = want;
     message.backlog = static_cast<std::uint32_t>(queue_.size());
     message.next = queue_.next();
     for (const auto& [shard, peer] : peers_)
--- a/packages/core/lib/shard_scheduler.cpp
+++ b/packages/core/lib/shard_scheduler.cpp
@@ -128,7 +128,7 @@
         end_lease(now, held, attempt_outcome::unused, duration(0));
     }
     const auto moved = moved_.find(message.request);
-    if (moved != moved_.end() && now < moved->second)
+    if (moved != moved_.end() && now < moved->second.until)
         return;
     if (queue_.contains(message.request))
         return;
@@ -325,7 +325,7 @@
         send_reject(late.id.entry, message, refusal_reason::deadline_passed,
                     predicted_wait(late.account));
     }
-    std::erase_if(moved_, [&](const auto& m) { return m.second <= now; });
+    forget_moved(now);
     if (now - window_from_ >= rate_window)
     {
         const double seconds =
--- /dev/null
+++ b/packages/core/unittests/fairness_test.cpp
@@ -0,0 +1,145 @@
+// Shares over the whole fleet, with accounts spread unevenly over instances.
+#include "fake_fleet.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+
+using namespace sycamorelock::core;
+using namespace sycamorelock::core::testing;
+
+namespace
+{
+
+/// Keeps a number of requests of an account open through some instances.
+struct load
+{
+    std::size_t account = 0;
+    double weight = 1;
+    std::size_t open = 0;
+    std::vector<std::size_t> through;
+    std::size_t turn = 0;
+};
+
+class closed_loop
+{
+  public:
+    closed_loop(fake_fleet& fleet, std::vector<load> loads)
+        : fleet_(fleet), loads_(std::move(loads))
+    {
+    }
+
+    /// Runs and returns the largest gap in weighted service between any two
+    /// accounts over any interval within the run.
+    double run(duration length)
+    {
+        std::map<std::pair<std::size_t, std::size_t>, std::pair<double, double>>
+            ranges;
+        const time_point end = fleet_.now() + length;
+        double gap = 0;
+        while (fleet_.now() < end)
+        {
+            refill();
+            fleet_.advance(std::chrono::milliseconds(20));
+            for (std::size_t a = 0; a < loads_.size(); ++a)
+            {
+                for (std::size_t b = a + 1; b < loads_.size(); ++b)
+                {
+                    const double difference = served(a) - served(b);
+                    const auto [range, fresh] = ranges.try_emplace(
+                        {a, b}, std::make_pair(difference, difference));
+                    auto& [low, high] = range->second;
+                    low = std::min(low, difference);
+                    high = std::max(high, difference);
+                    gap = std::max(gap, high - low);
+                }
+            }
+        }
+        return gap;
+    }
+
+    [[nodiscard]] double served(std::size_t index) const
+    {
+        const load& each = loads_[index];
+        return static_cast<double>(fleet_.service_of(each.account)) /
+               each.weight;
+    }
+
+  private:
+    void refill()
+    {
+        std::map<account_id, std::size_t> open;
+        std::erase_if(fleet_.outcomes(),
+                      [](const auto& entry)
+                      {
+                          const outcome& known = entry.second;
+                          return known.completed + known.refused > 0 ||
+                                 known.entry_died;
+                      });
+        for (const auto& [id, known] : fleet_.outcomes())
+            ++open[known.spec.account];
+        for (load& each : loads_)
+        {
+            for (std::size_t i = open[fake_fleet::account(each.account)];
+                 i < each.open; ++i)
+            {
+                const std::size_t to =
+                    each.through[each.turn++ % each.through.size()];
+                if (fleet_.running(to))
+                    fleet_.submit(to, each.account);
+            }
+        }
+    }
+
+    fake_fleet& fleet_;
+    std::vector<load> loads_;
+};
+
+fake_fleet::plan uneven_plan(scheduling_mode mode)
+{
+    fake_fleet::plan plan;
+    plan.endpoints_per_domain = 4;
+    plan.slots = 4;
+    plan.weights = {1, 1, 2, 1};
+    plan.mode = mode;
+    return plan;
+}
+
+std::vector<load> uneven_loads()
+{
+    return {{0, 1, 40, {0, 1}},
+            {1, 1, 40, {2}},
+            {2, 2, 60, {0, 1, 2, 3, 4, 5}},
+            {3, 1, 120, {5, 4, 3, 2, 1, 0}}};
+}
+
+/// Charges of the slots that two accounts can hold (48 slots, 5 weights, at
+/// most 400 a request), and what 48 slots serve in an exchange of a second
+/// (500 a second each).
+constexpr double bound = 2 * 48 / 5.0 * 400 + 48 * 500 / 5.0;
+
+} // namespace
+
+Test(fairness, the_gap_stays_bounded_however_long_it_runs)
+{
+    fake_fleet fleet(uneven_plan(scheduling_mode::full));
+    fleet.advance(std::chrono::seconds(5));
+    closed_loop work(fleet, uneven_loads());
+    work.run(std::chrono::seconds(10));
+    const double first = work.run(std::chrono::seconds(60));
+    const double second = work.run(std::chrono::seconds(240));
+    cr_log_warn("gap %.0f in 60 s, %.0f in 240 s, bound %.0f", first, second,
+                bound);
+    cr_assert(first <= bound, "%f", first);
+    cr_assert(second <= bound, "%f", second);
+}
+
+Test(fairness, without_the_exchange_the_gap_grows)
+{
+    // Shows that the test above can fail.
+    fake_fleet fleet(uneven_plan(scheduling_mode::no_exchange));
+    fleet.advance(std::chrono::seconds(5));
+    closed_loop work(fleet, uneven_loads());
+    const double gap = work.run(std::chrono::seconds(120));
+    cr_assert(gap > 2 * bound, "%f", gap);
+}
--- a/packages/wire/lib/convert.cpp
+++ b/packages/wire/lib/convert.cpp
@@ -343,14 +343,14 @@
 {
     pb::Advert& to = *body.mutable_advert();
     write(from.shard, *to.mutable_shard());
-    to.set_free_slots(from.free_slots);
+    to.set_wanted(from.wanted);
     to.set_backlog(from.backlog);
     to.set_next(from.next.value());
 }
 
 core::advert read(const pb::Advert& from)
 {
-    return {read(from.shard()), from.free_slots(), from.backlog(),
+    return {read(from.shard()), from.wanted(), from.backlog(),
             read_virtual(from.next())};
 }
 
--- a/test/standins/fleet.cpp
+++ b/test/standins/fleet.cpp
@@ -102,6 +102,12 @@
                 endpoints_[service.name].push_back(
                     std::make_unique<endpoint>(options));
                 endpoint_domains_[service.name].push_back(domain);
+                const std::string address =
+                    endpoints_[service.name].back()->address();
+                endpoint_routes_[service.name].push_back(
+                    plan_.endpoints_proxied
+                        ? proxy_->forward("127.0.0.1:0", address)
+                        : address);
             }
         }
     }
@@ -279,7 +285,7 @@
         const auto& domains = endpoint_domains_.at(service.name);
         for (std::size_t i = 0; i < domains.size(); ++i)
             out << "          e" << i << ": {address: '"
-                << endpoints_.at(service.name)[i]->address()
+                << endpoint_routes_.at(service.name)[i]
                 << "', domain: " << domains[i] << "}\n";
     }
     return out.str();
@@ -328,6 +334,21 @@
     return made;
 }
 
+std::size_t fleet::scheduler_of(const std::string& service,
+                                const std::string& domain)
+{
+    std::size_t index = 0;
+    for (const instance& which : instances_)
+    {
+        const std::string status =
+            which.domain == domain ? operator_get(which, "/status") : "";
+        if (status.find("\"service\":\"" + service + '"') != std::string::npos)
+            return index;
+        ++index;
+    }
+    return index;
+}
+
 int fleet::runs(const std::string& service, const std::string& mark)
 {
     int total = 0;
--- a/test/standins/fleet.hpp
+++ b/test/standins/fleet.hpp
@@ -43,6 +43,8 @@
     std::string extra{};
     /// Peers and the platform are reached through the proxy.
     bool proxied = true;
+    /// Endpoints are reached through the proxy as well.
+    bool endpoints_proxied = false;
 };
 
 /// One sycamorelockd.
@@ -102,6 +104,16 @@
 
     call make_call(std::size_t instance_index, const std::string& account,
                    const std::string& service);
+    /// Route of an endpoint through the proxy, or its own address.
+    [[nodiscard]] const std::string& endpoint_route(const std::string& service,
+                                                    std::size_t index) const
+    {
+        return endpoint_routes_.at(service).at(index);
+    }
+    /// Index of the instance that schedules the first shard of a service in a
+    /// failure domain; the number of instances if none does.
+    std::size_t scheduler_of(const std::string& service,
+                             const std::string& domain);
     /// How often a mark was started over all endpoints of a service.
     int runs(const std::string& service, const std::string& mark);
     /// Value of a metric without labels, or with exactly these labels.
@@ -117,6 +129,7 @@
     std::unique_ptr<proxy> proxy_;
     std::map<std::string, std::vector<std::unique_ptr<endpoint>>> endpoints_;
     std::map<std::string, std::vector<std::string>> endpoint_domains_;
+    std::map<std::string, std::vector<std::string>> endpoint_routes_;
     std::vector<instance> instances_;
     std::uint64_t config_version_ = 0;
     std::uint64_t members_version_ = 0;
--- a/test/standins/proxy.cpp
+++ b/test/standins/proxy.cpp
@@ -23,6 +23,7 @@
     std::string source;
     std::string route;
     long sent_back = 0;
+    long sent_forward = 0;
 };
 
 proxy::proxy() = default;
@@ -151,15 +152,14 @@
         if (now.delay.count() > 0)
             co_await sleep_for(now.delay);
         std::size_t pass = size;
-        if (back && now.truncate_back >= 0)
-        {
-            const long left = now.truncate_back - made->sent_back;
+        const long limit = back ? now.truncate_back : now.truncate_forward;
+        long& sent = back ? made->sent_back : made->sent_forward;
+        if (limit >= 0)
             pass = std::min<std::size_t>(
-                size, static_cast<std::size_t>(std::max(0L, left)));
-        }
+                size, static_cast<std::size_t>(std::max(0L, limit - sent)));
         auto [failed, written] = co_await asio::async_write(
             to, asio::buffer(bytes.data(), pass), as_result);
-        made->sent_back += back ? static_cast<long>(written) : 0;
+        sent += static_cast<long>(written);
         if (failed || pass < size)
             co_return made->close();
     }
--- a/test/standins/proxy.hpp
+++ b/test/standins/proxy.hpp
@@ -22,6 +22,8 @@
     std::chrono::milliseconds delay{0};
     /// Connections are closed after this many bytes back; negative for never.
     long truncate_back = -1;
+    /// The same for the bytes of the connecting side.
+    long truncate_forward = -1;
 };
 
 class proxy
--- a/utils/measurement/trace.cpp
+++ b/test/standins/trace.cpp
@@ -3,7 +3,7 @@
 
 #include <algorithm>
 
-namespace measurement
+namespace standin
 {
 
 double largest_gap(const account_trace& a, const account_trace& b)
@@ -52,4 +52,4 @@
     return samples[static_cast<std::size_t>(last * fraction)];
 }
 
-} // namespace measurement
+} // namespace standin
--- a/utils/measurement/trace.hpp
+++ b/test/standins/trace.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace measurement
+namespace standin
 {
 
 /// Service and backlog of one account, sampled over time.
@@ -30,4 +30,4 @@
 /// Value below which `fraction` of the samples lie; zero without samples.
 double percentile(std::vector<double> samples, double fraction);
 
-} // namespace measurement
+} // namespace standin
