--- a/test/standins/fleet.cpp
+++ b/test/standins/fleet.cpp
@@ -179,15 +179,20 @@
 void fleet::start(instance& which)
 {
     write_settings(which);
-    std::string program = daemon_path();
-    std::string option = "--settings";
-    std::array<char*, 4> arguments{program.data(), option.data(),
-                                   which.settings_file.data(), nullptr};
+    // A test that fails leaves at once; the kernel then ends its processes.
+    const std::string program = "/usr/bin/setpriv";
+    std::array<std::string, 5> words{program, "--pdeathsig", "KILL",
+                                     daemon_path(), "--settings"};
+    std::array<char*, 7> arguments{words[0].data(), words[1].data(),
+                                   words[2].data(), words[3].data(),
+                                   words[4].data(), which.settings_file.data(),
+                                   nullptr};
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO,
                                      which.log_file.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
     const int status = posix_spawn(&which.pid, program.c_str(), &actions,
                                    nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
