Failure detection that holds at 370 instances; half-open links; leaving; 408

Each found by a test that failed first: - placement_test at 370 instances: 99038 false suspicions in 240 s. Cause: all instances began their round of gossip at the same place of the list, near word filled every message, and the patience did not grow with the fleet. Price: about 27 s of silence before suspicion in a domain of 53 (3 to 4 s in small fleets). - fleet_shutdown rolling restart hung on 7 requests: links to a restarted instance stayed half open (here through sockets that a child had inherited). A new incarnation now gets a new link; the harness closes inherited sockets. - a leaving endpoint got work from a frozen entry: a load report without 'leaving' undid the platform's list.

--- a/packages/adapters/lib/caller_session.cpp
+++ b/packages/adapters/lib/caller_session.cpp
@@ -5,6 +5,7 @@
 
 #include "sycamorelock/adapters/clocks.hpp"
 
+#include <boost/asio/post.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -152,7 +153,39 @@
     const settings::process_settings& settings = shared_.control.settings();
     request.header_limit(max_request_header);
     request.body_limit(settings.max_body_bytes);
-    stream_.expires_after(settings.header_timeout);
+    // The stream's own time limit would close the socket, and the caller would
+    // get no answer. This one only ends the reading.
+    stream_.expires_never();
+    const auto timed_out = std::make_shared<bool>(false);
+    asio::steady_timer limit(stream_.get_executor(), settings.header_timeout);
+    limit.async_wait(
+        [timed_out, self = shared_from_this()](error_code ended)
+        {
+            if (ended)
+                return;
+            *timed_out = true;
+            error_code ignored;
+            self->stream_.socket().cancel(ignored);
+        });
+    const error_code error = co_await read_message(request);
+    limit.cancel();
+    if (!error)
+        co_return true;
+    keep_ = false;
+    const bool closed = error == http::error::end_of_stream ||
+                        error == asio::error::connection_reset ||
+                        error == asio::error::eof;
+    if (closed)
+        co_return false;
+    ++shared_.control.traffic().bad_requests;
+    shared_.control.log().write(process_event::bad_request,
+                                {{"error", error.message()}});
+    co_await answer_unreadable(error, *timed_out);
+    co_return false;
+}
+
+asio::awaitable<error_code> caller_session::read_message(parser& request)
+{
     auto [header_error, header_bytes] =
         co_await http::async_read_header(stream_, buffer_, request, as_result);
     error_code error = header_error;
@@ -170,20 +203,14 @@
             co_await http::async_read(stream_, buffer_, request, as_result);
         error = body_error;
     }
-    if (!error)
-        co_return true;
-    keep_ = false;
-    const bool closed = error == http::error::end_of_stream ||
-                        error == asio::error::connection_reset ||
-                        error == asio::error::eof;
-    if (closed)
-        co_return false;
-    ++shared_.control.traffic().bad_requests;
-    shared_.control.log().write(process_event::bad_request,
-                                {{"error", error.message()}});
+    co_return error;
+}
+
+asio::awaitable<void> caller_session::answer_unreadable(error_code error,
+                                                        bool timed_out)
+{
     using enum core::refusal_reason;
-    stream_.expires_after(settings.write_timeout);
-    if (error == beast::error::timeout)
+    if (timed_out)
         co_await answer_problem(bad_request, http::status::request_timeout,
                                 "the request did not arrive in time");
     else if (error == http::error::body_limit)
@@ -196,7 +223,6 @@
     else
         co_await answer_problem(bad_request, http::status::bad_request,
                                 error.message());
-    co_return false;
 }
 
 asio::awaitable<bool> caller_session::handle(caller_request request)
--- a/packages/adapters/lib/peer_link.cpp
+++ b/packages/adapters/lib/peer_link.cpp
@@ -34,6 +34,7 @@
     {
         check(nng_push0_open(&socket_), "push socket");
         nng_socket_set_int(socket_, NNG_OPT_SENDBUF, send_queue);
+        nng_socket_set_bool(socket_, NNG_OPT_TCP_KEEPALIVE, true);
         nng_socket_set_ms(socket_, NNG_OPT_RECONNMINT, reconnect_least);
         nng_socket_set_ms(socket_, NNG_OPT_RECONNMAXT, reconnect_most);
         // The source address lets operators and tests tell peers apart.
@@ -139,7 +140,10 @@
                 for_anyone || content.receiver == settings_.self;
             if (for_us && content.sender != settings_.self &&
                 filter_.accept(content))
+            {
+                renew_link(content);
                 return content;
+            }
         }
         catch (const wire::decode_error&)
         {
@@ -158,6 +162,16 @@
     /// Length prefix of nng plus the TCP and IP headers of one segment.
     static constexpr std::size_t framing = 8 + 52;
 
+    /// A restarted peer cannot read what was sent to its earlier self, and the
+    /// old connection may be half open: the next message dials anew.
+    void renew_link(const wire::envelope& content)
+    {
+        std::uint32_t& known = incarnations_[content.sender];
+        if (known != 0 && known != content.incarnation)
+            peers_.erase(content.sender);
+        known = content.incarnation;
+    }
+
     void transmit(outgoing& link, core::instance_id to,
                   std::vector<core::peer_message> messages)
     {
@@ -198,6 +212,7 @@
     wire::replay_filter filter_;
     std::map<core::instance_id, std::string> addresses_;
     std::map<core::instance_id, peer> peers_;
+    std::map<core::instance_id, std::uint32_t> incarnations_;
     std::map<std::string, std::unique_ptr<outgoing>> seeds_;
     std::uint64_t sequence_ = 0;
 };
--- a/packages/core/include/sycamorelock/core/endpoint_pool.hpp
+++ b/packages/core/include/sycamorelock/core/endpoint_pool.hpp
@@ -36,6 +36,7 @@
 
     void configure(const std::vector<endpoint_spec>& specs,
                    duration target_token_delay, std::uint32_t divide_slots);
+    /// Whether the platform's list says that an endpoint is leaving.
     void set_leaving(endpoint_id id, bool leaving);
 
     /// The endpoint for the next request, or nothing when none has a free
@@ -63,7 +64,9 @@
         std::uint32_t slots = 1;
         double limit = 1;
         std::uint32_t used = 0;
-        bool leaving = false;
+        /// Either source is enough: each may lag behind the other.
+        bool leaving_by_list = false;
+        bool leaving_by_report = false;
         bool listed = true;
         std::uint32_t failures = 0;
         time_point ejected_until;
@@ -76,6 +79,8 @@
         std::size_t foreign_cursor = 0;
     };
 
+    void note_leaving(const state& endpoint, bool before);
+    [[nodiscard]] static bool leaving(const state& endpoint);
     [[nodiscard]] static std::uint32_t free_of(const state& endpoint);
     void count_failure(time_point now, state& endpoint);
     void adapt(time_point now, state& endpoint, duration token_delay);
--- a/packages/core/include/sycamorelock/core/placement.hpp
+++ b/packages/core/include/sycamorelock/core/placement.hpp
@@ -14,17 +14,22 @@
 
 struct placement_options
 {
+    /// Period of a small fleet; a large one gossips half as often.
     duration gossip_period = std::chrono::milliseconds(500);
-    /// Silence after which an instance of the own failure domain is suspected.
-    duration suspect_after = std::chrono::seconds(3);
-    /// The same for other failure domains, which hear of it less often.
-    duration suspect_remote_after = std::chrono::seconds(6);
+    std::size_t small_fleet = 16;
+    /// Silence after which an instance is suspected, in periods: a constant
+    /// part, and one for each doubling of the instances that the word of it
+    /// passes through. Other failure domains are heard of less often.
+    double patience = 3;
+    double patience_of_large_fleet = 8;
+    double patience_per_doubling = 3.3;
+    double remote_factor = 2;
     /// Most heartbeats carried by one gossip message.
     std::size_t max_heartbeats = 48;
-    /// Instances told in one period, half of them in the own domain.
-    std::size_t fanout = 2;
-    /// Gossip bytes stay bounded: the period grows with the member count.
-    duration period_per_member = std::chrono::milliseconds(4);
+    /// Of these, how many are kept for other failure domains.
+    std::size_t remote_heartbeats = 16;
+    /// Every so many periods another failure domain is told, too.
+    std::size_t remote_every = 2;
 };
 
 class placement
@@ -90,6 +95,8 @@
     void note_alive(time_point now, instance_id id, peer& state);
     void accept_heartbeat(time_point now, const heartbeat& beat);
     void suspect_silent(time_point now);
+    [[nodiscard]] duration period() const;
+    [[nodiscard]] std::size_t near_count() const;
     void send_gossip(time_point now, const config_version& config);
     [[nodiscard]] gossip compose(domain_id towards,
                                  const config_version& config);
@@ -109,6 +116,7 @@
     std::uint32_t own_counter_ = 0;
     bool leaving_ = false;
     time_point next_gossip_;
+    std::uint64_t rounds_ = 0;
     std::size_t near_cursor_ = 0;
     std::size_t far_cursor_ = 0;
     std::uint64_t generation_ = 1;
--- a/packages/core/include/sycamorelock/core/shard_scheduler.hpp
+++ b/packages/core/include/sycamorelock/core/shard_scheduler.hpp
@@ -18,7 +18,7 @@
     endpoint_pool_options endpoints;
     duration lease = std::chrono::seconds(5);
     /// Wait of a new owner for reports of what already runs.
-    duration settle = std::chrono::seconds(1);
+    duration settle = std::chrono::milliseconds(500);
     duration advert_period = std::chrono::seconds(1);
     duration advert_min_gap = std::chrono::milliseconds(20);
     duration exchange_period = std::chrono::milliseconds(250);
--- a/packages/core/lib/endpoint_pool.cpp
+++ b/packages/core/lib/endpoint_pool.cpp
@@ -42,19 +42,30 @@
                   { return !entry.second.listed && entry.second.used == 0; });
 }
 
-void endpoint_pool::set_leaving(endpoint_id id, bool leaving)
+bool endpoint_pool::leaving(const state& endpoint)
+{
+    return endpoint.leaving_by_list || endpoint.leaving_by_report;
+}
+
+void endpoint_pool::note_leaving(const state& endpoint, bool before)
+{
+    if (leaving(endpoint) && !before)
+        out_.note(event_number::endpoint_leaving, endpoint.spec.name);
+}
+
+void endpoint_pool::set_leaving(endpoint_id id, bool by_list)
 {
     const auto found = endpoints_.find(id);
-    if (found == endpoints_.end() || found->second.leaving == leaving)
+    if (found == endpoints_.end())
         return;
-    found->second.leaving = leaving;
-    if (leaving)
-        out_.note(event_number::endpoint_leaving, found->second.spec.name);
+    const bool before = leaving(found->second);
+    found->second.leaving_by_list = by_list;
+    note_leaving(found->second, before);
 }
 
 std::uint32_t endpoint_pool::free_of(const state& endpoint)
 {
-    if (!endpoint.listed || endpoint.leaving || endpoint.ejected)
+    if (!endpoint.listed || leaving(endpoint) || endpoint.ejected)
         return 0;
     const auto& samples = endpoint.foreign;
     const std::uint32_t foreign =
@@ -170,7 +181,9 @@
     if (found == endpoints_.end())
         return;
     state& endpoint = found->second;
-    set_leaving(id, report.leaving);
+    const bool before = leaving(endpoint);
+    endpoint.leaving_by_report = report.leaving;
+    note_leaving(endpoint, before);
     const std::uint32_t foreign =
         report.running > endpoint.used ? report.running - endpoint.used : 0;
     endpoint.foreign.at(endpoint.foreign_cursor) = foreign;
@@ -213,7 +226,7 @@
     std::uint32_t total = 0;
     for (const auto& [id, endpoint] : endpoints_)
     {
-        if (!endpoint.listed || endpoint.leaving || endpoint.ejected)
+        if (!endpoint.listed || leaving(endpoint) || endpoint.ejected)
             continue;
         total += static_cast<std::uint32_t>(endpoint.limit);
     }
--- a/packages/core/lib/placement.cpp
+++ b/packages/core/lib/placement.cpp
@@ -5,6 +5,7 @@
 #include <boost/random/uniform_int_distribution.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace sycamorelock::core
 {
@@ -30,6 +31,10 @@
     : self_(self), domain_(domain), incarnation_(incarnation),
       options_(options), random_(static_cast<std::uint32_t>(seed)), out_(out)
 {
+    // All instances start at different places of the list, or each period all
+    // of them would tell the same one.
+    near_cursor_ = random_();
+    far_cursor_ = random_();
 }
 
 bool placement::install(time_point now, wall_time wall, membership list)
@@ -114,16 +119,44 @@
         accept_heartbeat(now, beat);
 }
 
+duration placement::period() const
+{
+    const bool small = list_.members.size() <= options_.small_fleet;
+    return small ? options_.gossip_period : options_.gossip_period * 2;
+}
+
+std::size_t placement::near_count() const
+{
+    std::size_t count = 0;
+    for (const auto& [id, info] : list_.members)
+        count += info.domain == domain_ ? 1 : 0;
+    return count;
+}
+
 void placement::suspect_silent(time_point now)
 {
+    // Word of an instance reaches n others in about 2 log2 n periods. Far word
+    // comes in samples of the other domains, so it takes as many times longer
+    // as there are samples.
+    const auto near = static_cast<double>(near_count());
+    const double far = static_cast<double>(list_.members.size()) - near;
+    const double samples =
+        std::max(1.0, far / static_cast<double>(options_.remote_heartbeats));
+    const bool small = list_.members.size() <= options_.small_fleet;
+    const double constant =
+        small ? options_.patience : options_.patience_of_large_fleet;
+    const double periods =
+        constant + options_.patience_per_doubling * std::log2(near + 1);
+    const auto unit = static_cast<double>(period().count());
+    const duration near_limit(static_cast<duration::rep>(unit * periods));
+    const duration far_limit(static_cast<duration::rep>(
+        unit * periods * options_.remote_factor * samples));
     for (auto& [id, state] : peers_)
     {
         if (state.suspected)
             continue;
-        const bool near = list_.members.at(id).domain == domain_;
-        const duration limit =
-            near ? options_.suspect_after : options_.suspect_remote_after;
-        if (now - state.last_heard <= limit)
+        const bool is_near = list_.members.at(id).domain == domain_;
+        if (now - state.last_heard <= (is_near ? near_limit : far_limit))
             continue;
         state.suspected = true;
         ++generation_;
@@ -163,16 +196,19 @@
     }
     std::shuffle(near.begin(), near.end(), random_);
     std::shuffle(far.begin(), far.end(), random_);
-    // The receiver's own failure domain matters most to it.
-    for (const auto* group : {&near, &far})
-    {
-        for (const heartbeat& beat : *group)
-        {
-            if (message.heartbeats.size() >= options_.max_heartbeats)
-                return message;
-            message.heartbeats.push_back(beat);
-        }
-    }
+    // The receiver's own failure domain matters most to it, but without a part
+    // kept for the others it would never hear of them in a large fleet.
+    const std::size_t room = options_.max_heartbeats;
+    const std::size_t kept = std::min(far.size(), options_.remote_heartbeats);
+    const std::size_t for_near = std::min(near.size(), room - 1 - kept);
+    message.heartbeats.insert(message.heartbeats.end(), near.begin(),
+                              near.begin() +
+                                  static_cast<std::ptrdiff_t>(for_near));
+    const std::size_t for_far =
+        std::min(far.size(), room - message.heartbeats.size());
+    message.heartbeats.insert(message.heartbeats.end(), far.begin(),
+                              far.begin() +
+                                  static_cast<std::ptrdiff_t>(for_far));
     return message;
 }
 
@@ -186,21 +222,20 @@
             continue;
         (info.domain == domain_ ? near : far).push_back(id);
     }
-    next_gossip_ =
-        now + options_.gossip_period +
-        options_.period_per_member * static_cast<long>(list_.members.size());
+    next_gossip_ = now + period();
     ++own_counter_;
-    for (std::size_t i = 0; i < options_.fanout; ++i)
+    ++rounds_;
+    const auto tell =
+        [&](const std::vector<instance_id>& group, std::size_t& cursor)
     {
-        const bool pick_near = far.empty() || (i % 2 == 0 && !near.empty());
-        const auto& group = pick_near ? near : far;
         if (group.empty())
             return;
-        const instance_id target =
-            next_target(group, pick_near ? near_cursor_ : far_cursor_);
-        const domain_id towards = list_.members.at(target).domain;
-        out_.send(target, compose(towards, config));
-    }
+        const instance_id target = next_target(group, cursor);
+        out_.send(target, compose(list_.members.at(target).domain, config));
+    };
+    tell(near, near_cursor_);
+    if (rounds_ % options_.remote_every == 0 || near.empty())
+        tell(far, far_cursor_);
 }
 
 void placement::tick(time_point now, const config_version& config)
--- a/test/standins/fleet.cpp
+++ b/test/standins/fleet.cpp
@@ -193,6 +193,8 @@
                                      which.log_file.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
     posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
+    // Sockets of the proxy that stay open in a child would look half open.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     const int status = posix_spawn(&which.pid, program.c_str(), &actions,
                                    nullptr, arguments.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
