--- a/packages/cli/lib/main.cpp
+++ b/packages/cli/lib/main.cpp
@@ -140,7 +140,7 @@
 
 int run(const cxxopts::ParseResult& given)
 {
-    const auto words = given.unmatched();
+    const auto& words = given.unmatched();
     const std::string command = words.empty() ? "" : words.front();
     const std::vector<std::string> rest(
         words.empty() ? words.end() : words.begin() + 1, words.end());
--- a/packages/core/lib/shard_exchange.cpp
+++ b/packages/core/lib/shard_exchange.cpp
@@ -154,8 +154,9 @@
         }
         // An account that is behind what the peer serves next moves there. What
         // was moved already counts, or all its requests would go at once.
-        const auto behind = [&](account_id account, virtual_time at)
-        { return with_moved(account, at) + options_.move_margin < peer.next; };
+        const virtual_time ahead = peer.next;
+        const auto behind = [&, ahead](account_id account, virtual_time at)
+        { return with_moved(account, at) + options_.move_margin < ahead; };
         while (options_.exchange && peer.backlog > 0 && peer.moves_left > 0)
         {
             const waiting_request* next = queue_.first_movable(behind);
