--- a/packages/core/lib/shard_exchange.cpp
+++ b/packages/core/lib/shard_exchange.cpp
@@ -261,6 +261,7 @@
     if (movers.size() > options_.max_report_items)
         movers.resize(options_.max_report_items);
     std::vector<account_id> accounts;
+    accounts.reserve(movers.size());
     for (const auto& [amount, account] : movers)
         accounts.push_back(account);
     return accounts;
