--- a/packages/core/lib/placement.cpp
+++ b/packages/core/lib/placement.cpp
@@ -16,6 +16,10 @@
 /// Member lists remembered to tell how long a key has been owned.
 constexpr std::size_t max_past_lists = 16;
 
+/// Periods of patience for each doubling in a small fleet, where a message
+/// rarely has to pass through a third instance.
+constexpr double small_fleet_growth = 2;
+
 std::string key_subject(const idempotency_key& key)
 {
     std::string subject = std::to_string(key.account.value()) + '#';
@@ -145,8 +149,9 @@
     const bool small = list_.members.size() <= options_.small_fleet;
     const double constant =
         small ? options_.patience : options_.patience_of_large_fleet;
-    const double periods =
-        constant + options_.patience_per_doubling * std::log2(near + 1);
+    const double growth =
+        small ? small_fleet_growth : options_.patience_per_doubling;
+    const double periods = constant + growth * std::log2(near + 1);
     const auto unit = static_cast<double>(period().count());
     const duration near_limit(static_cast<duration::rep>(unit * periods));
     const duration far_limit(static_cast<duration::rep>(
