--- a/packages/core/include/sycamorelock/core/entry.hpp
+++ b/packages/core/include/sycamorelock/core/entry.hpp
@@ -4,6 +4,7 @@
 
 #include "sycamorelock/core/cost_estimator.hpp"
 #include "sycamorelock/core/key_owner.hpp"
+#include "sycamorelock/core/request_records.hpp"
 #include "sycamorelock/core/retry_budget.hpp"
 #include "sycamorelock/core/shard_directory.hpp"
 
@@ -64,27 +65,6 @@
     std::size_t max_requests = 20000;
 };
 
-/// One line of `explain`: what happened to a request.
-struct request_record
-{
-    request_id id;
-    account_id account;
-    service_id service;
-    shard_id shard;
-    endpoint_id endpoint;
-    std::uint8_t urgency = 3;
-    std::uint32_t attempts = 0;
-    cost estimate;
-    cost total;
-    time_point accepted;
-    time_point first_grant;
-    time_point ended;
-    bool refused = false;
-    bool open = true;
-    refusal_reason reason = refusal_reason::queue_full;
-    executed ran = executed::no;
-};
-
 /// Counters of one entry since start.
 struct entry_counters
 {
@@ -116,7 +96,10 @@
 
     [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
     [[nodiscard]] const entry_counters& counters() const { return counters_; }
-    [[nodiscard]] const request_record* explain(const request_id& id) const;
+    [[nodiscard]] const request_record* explain(const request_id& id) const
+    {
+        return records_.find(id);
+    }
 
   private:
     enum class phase : std::uint8_t
@@ -149,6 +132,8 @@
         bool requeued = false;
     };
     using open_map = std::map<request_id, open_request>;
+    /// When a refused caller may come back if nothing better is known.
+    static constexpr std::chrono::milliseconds soon{1000};
 
     void refuse_new(time_point now, const submission& wanted,
                     refusal_reason reason);
@@ -185,8 +170,7 @@
     time_point next_renew_;
     std::uint64_t seen_generation_ = 0;
     bool stopping_ = false;
-    std::map<request_id, request_record> records_;
-    std::deque<request_id> record_order_;
+    request_records records_;
 };
 
 } // namespace sycamorelock::core
--- /dev/null
+++ b/packages/core/include/sycamorelock/core/request_records.hpp
@@ -0,0 +1,48 @@
+// What happened to the latest requests of an entry, for `explain`.
+#pragma once
+
+#include "sycamorelock/core/reasons.hpp"
+#include "sycamorelock/core/strong_types.hpp"
+
+#include <deque>
+#include <map>
+
+namespace sycamorelock::core
+{
+
+/// One line of `explain`: what happened to a request.
+struct request_record
+{
+    request_id id;
+    account_id account;
+    service_id service;
+    shard_id shard;
+    endpoint_id endpoint;
+    std::uint8_t urgency = 3;
+    std::uint32_t attempts = 0;
+    cost estimate;
+    cost total;
+    time_point accepted;
+    time_point first_grant;
+    time_point ended;
+    bool refused = false;
+    bool open = true;
+    refusal_reason reason = refusal_reason::queue_full;
+    executed ran = executed::no;
+};
+
+/// The latest records; the oldest ones are dropped.
+class request_records
+{
+  public:
+    /// The record of a request, made from `initial` if there is none.
+    request_record& find_or_add(const request_record& initial);
+    /// Null if the request is unknown or too long ago.
+    [[nodiscard]] const request_record* find(const request_id& id) const;
+
+  private:
+    std::map<request_id, request_record> records_;
+    std::deque<request_id> order_;
+};
+
+} // namespace sycamorelock::core
--- a/packages/core/include/sycamorelock/core/shard_scheduler.hpp
+++ b/packages/core/include/sycamorelock/core/shard_scheduler.hpp
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "sycamorelock/core/endpoint_pool.hpp"
-#include "sycamorelock/core/fair_queue.hpp"
+#include "sycamorelock/core/service_exchange.hpp"
 
 #include <boost/random/mersenne_twister.hpp>
 
@@ -21,17 +21,12 @@
     duration settle = std::chrono::milliseconds(500);
     duration advert_period = std::chrono::seconds(1);
     duration advert_min_gap = std::chrono::milliseconds(20);
-    duration exchange_period = std::chrono::milliseconds(150);
-    /// Bytes a second that service reports may use; the period is stretched.
-    std::size_t exchange_bytes_per_second = 1000;
-    std::size_t max_report_items = 256;
+    exchange_options exchange;
     /// Virtual time by which a peer must be ahead before work moves to it for
     /// fairness alone.
     virtual_time move_margin{500};
     std::uint32_t move_burst = 64;
     duration moved_for = std::chrono::seconds(2);
-    /// Off for the baseline without exchange between schedulers.
-    bool exchange = true;
 };
 
 class shard_scheduler
@@ -65,9 +60,11 @@
 
     /// Gives waiting requests back before the shard moves to another owner.
     void abandon();
-    /// Tells the totals to the owners of the service's shards, as the last
-    /// thing before the shard is scheduled elsewhere.
-    void hand_over(const std::set<instance_id>& receivers);
+    /// Tells the service given here, before the shard moves to another owner.
+    void hand_over(const std::set<instance_id>& receivers)
+    {
+        exchange_.hand_over(receivers);
+    }
 
     [[nodiscard]] shard_id id() const { return id_; }
     [[nodiscard]] std::size_t backlog() const { return queue_.size(); }
@@ -109,14 +106,6 @@
         account_id account;
         cost estimate;
     };
-    /// A scheduler that lost its memory counts anew, in another epoch.
-    using totals_key = std::pair<shard_id, std::uint32_t>;
-    /// Running totals of another scheduler that are counted here.
-    struct totals_seen
-    {
-        std::map<account_id, std::int64_t> totals;
-        time_point heard;
-    };
 
     void serve(time_point now);
     void give(time_point now, endpoint_id endpoint);
@@ -133,7 +122,7 @@
     void move_to(time_point now, const shard_id& shard, peer_view& peer,
                  const waiting_request& request);
     void advertise(time_point now, bool due);
-    void report_service(time_point now);
+    [[nodiscard]] bool peers_have_backlog(time_point now) const;
     [[nodiscard]] virtual_time with_moved(account_id account,
                                           virtual_time at) const;
     void forget_moved(const request_id& id);
@@ -142,37 +131,16 @@
     [[nodiscard]] std::uint32_t low_water() const;
     [[nodiscard]] std::uint32_t wanted() const;
     void follow_peers(time_point now);
-    [[nodiscard]] bool waits_elsewhere(time_point now,
-                                       account_id account) const;
     void enqueue_fairly(time_point now, const waiting_request& request);
-    [[nodiscard]] std::vector<account_id> accounts_to_report();
-    [[nodiscard]] std::set<instance_id> peer_owners() const;
-    [[nodiscard]] service_report::item report_item(account_id account);
-    void add_service(account_id account, std::int64_t amount);
-    [[nodiscard]] virtual_time to_virtual(account_id account,
-                                          cost amount) const;
-    [[nodiscard]] virtual_time counted_service(account_id account) const;
-    void count(time_point now, totals_seen& seen,
-               const service_report::item& item);
-    void finish_joining(time_point now);
-    void note_waiting(time_point now, const service_report& message);
-    void replace_owner(const shard_id& shard, peer_view& view,
-                       instance_id owner);
-    void catch_up(time_point now);
-    void ask_for_snapshot(time_point now);
-    /// Counts the service of a snapshot that was not known; returns the sum of
-    /// its totals, which its virtual times include.
-    std::map<account_id, std::int64_t> count_included(time_point now,
-                                                      const snapshot& message);
-    totals_seen& seen_of(time_point now, const totals_key& key);
-    void forget_totals(time_point now);
+    void replace_owner(time_point now, peer_view& view, instance_id owner);
+    void follow_owners(time_point now);
 
     shard_id id_;
     scheduler_options options_;
     boost::random::mt19937 random_;
     outbox& out_;
-    std::uint32_t epoch_;
     fair_queue queue_;
+    service_exchange exchange_;
     endpoint_pool pool_;
     std::size_t max_queue_ = 0;
     std::size_t max_queue_per_account_ = 0;
@@ -182,33 +150,11 @@
     std::map<account_id, cost> moved_cost_;
     std::map<instance_id, std::chrono::milliseconds> entry_clocks_;
     std::map<shard_id, peer_view> peers_;
-    std::map<totals_key, totals_seen> seen_;
-    /// Accounts with requests waiting at a peer, and until when that holds.
-    std::map<shard_id, std::map<account_id, time_point>> waiting_at_;
-    std::map<account_id, std::int64_t> totals_;
-    /// Service that the virtual times include: `totals_` and all of `seen_`.
-    std::map<account_id, std::int64_t> counted_;
-    std::map<account_id, std::int64_t> unreported_;
-    std::set<account_id> reported_waiting_;
-    std::set<account_id> lifted_;
-    /// Accounts whose totals are told again, because peers may have missed
-    /// earlier reports.
-    std::set<account_id> repeat_;
     time_point granting_from_;
     time_point next_advert_;
-    time_point next_report_;
     time_point advert_allowed_;
     std::uint32_t advertised_wanted_ = 0;
     bool advertised_backlog_ = false;
-    /// Until a peer's virtual times have come, service is not reported.
-    bool joining_ = true;
-    std::vector<std::pair<instance_id, service_report>> early_reports_;
-    time_point totals_known_from_;
-    time_point joined_at_latest_;
-    time_point next_snapshot_request_;
-    std::size_t snapshot_requests_ = 0;
-    unsigned snapshots_due_ = 0;
-    bool snapshot_awaited_ = false;
     double served_in_window_ = 0;
     double rate_ = 0;
     time_point window_from_;
--- a/packages/core/lib/control_state.cpp
+++ b/packages/core/lib/control_state.cpp
@@ -15,7 +15,7 @@
     if (mode == scheduling_mode::fcfs)
         options.queue.order = queue_order::arrival;
     if (mode != scheduling_mode::full)
-        options.exchange = false;
+        options.exchange.enabled = false;
     return options;
 }
 
--- a/packages/core/lib/entry.cpp
+++ b/packages/core/lib/entry.cpp
@@ -1,5 +1,6 @@
 // Life of accepted requests at their entry: submit, claim, wait, run, end.
-// Timers and owner changes are in entry_timers.cpp.
+// Claims of idempotency keys are in entry_claims.cpp, timers and owner changes
+// in entry_timers.cpp.
 #include "sycamorelock/core/entry.hpp"
 
 #include <algorithm>
@@ -11,9 +12,6 @@
 namespace
 {
 
-constexpr std::size_t max_records = 4096;
-constexpr std::chrono::milliseconds soon{1000};
-
 std::chrono::milliseconds in_milliseconds(duration value)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(value);
@@ -36,29 +34,14 @@
 
 request_record& entry::record_of(const open_request& request)
 {
-    const auto [found, fresh] = records_.try_emplace(request.spec.id);
-    request_record& record = found->second;
-    if (!fresh)
-        return record;
-    record.id = request.spec.id;
-    record.account = request.spec.account;
-    record.service = request.spec.service;
-    record.urgency = request.spec.urgency;
-    record.estimate = request.estimate;
-    record.accepted = request.accepted;
-    record_order_.push_back(request.spec.id);
-    if (record_order_.size() > max_records)
-    {
-        records_.erase(record_order_.front());
-        record_order_.pop_front();
-    }
-    return record;
-}
-
-const request_record* entry::explain(const request_id& id) const
-{
-    const auto found = records_.find(id);
-    return found == records_.end() ? nullptr : &found->second;
+    request_record initial;
+    initial.id = request.spec.id;
+    initial.account = request.spec.account;
+    initial.service = request.spec.service;
+    initial.urgency = request.spec.urgency;
+    initial.estimate = request.estimate;
+    initial.accepted = request.accepted;
+    return records_.find_or_add(initial);
 }
 
 void entry::refuse_new(time_point now, const submission& wanted,
@@ -113,55 +96,6 @@
     start_waiting(now, stored);
 }
 
-void entry::send_claim(time_point now, open_request& request)
-{
-    request.next_send = now + options_.claim_repeat;
-    const auto owner = placement_.key_owner(*request.spec.key);
-    if (!owner)
-        return;
-    claim message;
-    message.request = request.spec.id;
-    message.key = *request.spec.key;
-    message.membership_version = placement_.list().version;
-    out_.send(*owner, message);
-}
-
-void entry::on_message(time_point now, instance_id from,
-                       const claim_result& message)
-{
-    const auto found = open_.find(message.request);
-    const bool waits =
-        found != open_.end() && found->second.state == phase::claiming;
-    if (!waits)
-        return;
-    open_request& request = found->second;
-    switch (message.verdict)
-    {
-    case claim_verdict::granted:
-        request.claimed = true;
-        start_waiting(now, request);
-        return;
-    case claim_verdict::duplicate:
-        out_.note(event_number::key_duplicate, to_string(message.request));
-        refuse_open(now, found, refusal_reason::duplicate_key,
-                    executed::unknown, soon);
-        return;
-    case claim_verdict::outside_memory:
-        refuse_open(now, found, refusal_reason::key_outside_memory,
-                    executed::unknown, soon);
-        return;
-    case claim_verdict::table_full:
-        refuse_open(now, found, refusal_reason::too_many_requests,
-                    executed::unknown, soon);
-        return;
-    case claim_verdict::not_owner:
-    case claim_verdict::no_majority:
-        // The lists may agree in a moment: the timer repeats the claim.
-        (void)from;
-        return;
-    }
-}
-
 void entry::start_waiting(time_point now, open_request& request)
 {
     request.state = phase::waiting;
--- a/packages/core/lib/entry_timers.cpp
+++ b/packages/core/lib/entry_timers.cpp
@@ -9,7 +9,6 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds soon{1000};
 /// The scheduler refuses a late request first; the entry does so only when it
 /// hears nothing.
 constexpr duration deadline_grace = std::chrono::milliseconds(250);
--- a/packages/core/lib/shard_scheduler.cpp
+++ b/packages/core/lib/shard_scheduler.cpp
@@ -1,5 +1,5 @@
-// Grants, leases and admission of one shard. What it exchanges with the other
-// shards of its service is in shard_exchange.cpp.
+// Grants, leases and admission of one shard. Moves of work to other shards of
+// the service are in shard_moves.cpp.
 #include "sycamorelock/core/shard_scheduler.hpp"
 
 #include <boost/random/uniform_real_distribution.hpp>
@@ -23,9 +23,9 @@
                                  std::uint64_t seed, time_point now,
                                  outbox& out)
     : id_(id), options_(options), random_(static_cast<std::uint32_t>(seed)),
-      out_(out), epoch_(random_()), queue_(options.queue),
+      out_(out), queue_(options.queue),
+      exchange_(id, options.exchange, random_(), now, queue_, out),
       pool_(options.endpoints, out), granting_from_(now + options.settle),
-      joining_(options.exchange), joined_at_latest_(now + 2 * options.settle),
       window_from_(now)
 {
 }
@@ -230,9 +230,7 @@
     queue_.charge(account, amount);
     if (queue_.system_time() < before)
         out_.note(event_number::invariant_system_time_back);
-    totals_[account] += amount.value();
-    counted_[account] += amount.value();
-    unreported_[account] += amount.value();
+    exchange_.add_own(account, amount);
 }
 
 void shard_scheduler::end_lease(time_point now,
@@ -307,6 +305,25 @@
     }
 }
 
+void shard_scheduler::on_message(time_point now, instance_id from,
+                                 const service_report& message)
+{
+    exchange_.on_report(now, from, message);
+    move_work(now);
+}
+
+void shard_scheduler::on_message(time_point now, instance_id from,
+                                 const snapshot_request&)
+{
+    exchange_.on_snapshot_request(now, from);
+}
+
+void shard_scheduler::on_message(time_point now, instance_id,
+                                 const snapshot& message)
+{
+    exchange_.on_snapshot(now, message);
+}
+
 void shard_scheduler::on_load(time_point now, endpoint_id endpoint,
                               const load_report& report)
 {
@@ -345,8 +362,7 @@
     serve(now);
     if (now >= next_advert_)
         advertise(now, true);
-    ask_for_snapshot(now);
-    report_service(now);
+    exchange_.tick(now);
 }
 
 void shard_scheduler::abandon()
