Command line tested as operators run it; explain names the entry

Cause: no test ran the sycamorelock binary, and explain at another instance said only that it does not remember the request.

Now a test runs check (README's first configuration included), digest, status, explain, metrics and drain against real processes, and the exit codes.

--- a/packages/adapters/lib/operator_server.cpp
+++ b/packages/adapters/lib/operator_server.cpp
@@ -28,6 +28,21 @@
     return result;
 }
 
+/// Only its entry remembers a request; its id tells which instance that was.
+std::string where_to_ask(const core::control_state& state,
+                         const core::request_id& id)
+{
+    const auto& members = state.where().list().members;
+    const auto entry = members.find(id.entry);
+    if (entry == members.end())
+        return "no listed instance accepted this request\n";
+    const bool here = id.entry == state.self();
+    if (here)
+        return "this instance does not remember the request: too long ago, or "
+               "before its restart\n";
+    return "accepted by instance " + entry->second.name + ": ask there\n";
+}
+
 } // namespace
 
 class operator_server::impl : public std::enable_shared_from_this<impl>
@@ -139,7 +154,7 @@
         std::string found = explain_json(control_, id);
         if (found.empty())
             return answer(asked, http::status::not_found, "text/plain",
-                          "this instance does not remember the request\n");
+                          where_to_ask(control_.state(), id));
         return answer(asked, http::status::ok, "application/json",
                       std::move(found));
     }
--- /dev/null
+++ b/test/integration/cli_test.cpp
@@ -0,0 +1,199 @@
+// The operators' command line, run as they run it.
+#include "plans.hpp"
+
+#include <criterion/criterion.h>
+
+#include <array>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+using namespace standin;
+
+namespace
+{
+
+struct outcome
+{
+    int status = -1;
+    std::string text;
+};
+
+/// Runs a command line and collects what it prints on both streams.
+outcome run_line(const std::string& line)
+{
+    outcome result;
+    FILE* pipe = popen((line + " 2>&1").c_str(), "r");
+    cr_assert_not_null(pipe);
+    std::array<char, 4096> buffer{};
+    std::size_t count = 0;
+    while ((count = std::fread(buffer.data(), 1, buffer.size(), pipe)) > 0)
+        result.text.append(buffer.data(), count);
+    result.status = WEXITSTATUS(pclose(pipe));
+    return result;
+}
+
+outcome sycamorelock(const std::string& arguments)
+{
+    return run_line(std::string(SYCAMORELOCK_PATH) + ' ' + arguments);
+}
+
+bool says(const outcome& result, const std::string& words)
+{
+    return result.text.find(words) != std::string::npos;
+}
+
+/// A file that is gone when the test ends.
+class scratch_file
+{
+  public:
+    scratch_file(const std::string& name, const std::string& text)
+        : path_(std::filesystem::temp_directory_path() /
+                ("sycamorelock-" + std::to_string(getpid()) + '-' + name))
+    {
+        std::ofstream(path_) << text;
+    }
+    ~scratch_file() { std::filesystem::remove(path_); }
+    scratch_file(const scratch_file&) = delete;
+    scratch_file& operator=(const scratch_file&) = delete;
+    [[nodiscard]] std::string path() const { return path_.string(); }
+
+  private:
+    std::filesystem::path path_;
+};
+
+/// The indented block of README.md after "A first configuration".
+std::string first_configuration()
+{
+    std::ifstream in(SYCAMORELOCK_SOURCE "/README.md");
+    std::string line;
+    std::string block;
+    bool found = false;
+    while (std::getline(in, line))
+    {
+        found = found || line.starts_with("A first configuration");
+        const bool indented = line.starts_with("    ");
+        if (!found || (!indented && block.empty()))
+            continue;
+        if (!indented)
+            break;
+        block += line.substr(4) + '\n';
+    }
+    return block;
+}
+
+std::string digest_of(const std::string& key)
+{
+    const outcome printed = sycamorelock("digest " + key);
+    return printed.text.substr(0, printed.text.find('\n'));
+}
+
+} // namespace
+
+Test(cli, the_first_configuration_of_the_readme_passes_the_check)
+{
+    std::string tree = first_configuration();
+    const std::string placeholder = "SHA-256 of the API key, in hex";
+    const auto at = tree.find(placeholder);
+    cr_assert_neq(at, std::string::npos, "%s", tree.c_str());
+    const scratch_file unfinished("unfinished.yaml", tree);
+    cr_assert_eq(sycamorelock("check " + unfinished.path()).status, 1);
+    tree.replace(at, placeholder.size(), digest_of("secret"));
+    const scratch_file finished("finished.yaml", tree);
+    const outcome checked = sycamorelock("check " + finished.path());
+    cr_assert_eq(checked.status, 0, "%s", checked.text.c_str());
+    cr_assert(says(checked, "no findings"));
+}
+
+Test(cli, the_digest_is_the_sha_256_of_the_key)
+{
+    const std::string digest = digest_of("abc");
+    cr_assert_str_eq(digest.c_str(), "ba7816bf8f01cfea414140de5dae2223"
+                                     "b00361a396177a9cb410ff61f20015ad");
+}
+
+Test(cli, check_reports_all_findings_of_all_files_with_their_places)
+{
+    const scratch_file process("process.yaml", "name: a1\ndomian: a\n"
+                                               "caller_port: many\n");
+    const scratch_file tree("tree.yaml",
+                            "accounts:\n  children:\n    north: {weight: -1}\n"
+                            "services:\n  children: {}\n");
+    const outcome checked =
+        sycamorelock("check " + process.path() + ' ' + tree.path());
+    cr_assert_eq(checked.status, 1);
+    cr_assert(says(checked, process.path() + ":2:"), "%s",
+              checked.text.c_str());
+    cr_assert(says(checked, "domian"));
+    cr_assert(says(checked, process.path() + ":3:"));
+    cr_assert(says(checked, tree.path() + ":3:"));
+    const outcome as_json = sycamorelock("check --json " + process.path());
+    cr_assert(as_json.text.starts_with("[{\"file\":"));
+    cr_assert(says(as_json, "\"line\":2"));
+    const outcome missing = sycamorelock("check /nowhere/at-all.yaml");
+    cr_assert_eq(missing.status, 1);
+    cr_assert(says(missing, "cannot be read"));
+}
+
+Test(cli, wrong_usage_and_an_unreachable_instance_have_their_own_exit_codes)
+{
+    for (const char* line : {"", "check", "explain", "nonsense", "status more",
+                             "--at", "status --nonsense"})
+    {
+        const outcome wrong = sycamorelock(line);
+        cr_assert_eq(wrong.status, 2, "%s: %d", line, wrong.status);
+        cr_assert(!wrong.text.empty());
+    }
+    const outcome nobody = sycamorelock("--at 127.0.0.1:1 status");
+    cr_assert_eq(nobody.status, 1);
+    cr_assert(says(nobody, "127.0.0.1:1"));
+    cr_assert_eq(sycamorelock("--at nonsense status").status, 1);
+    cr_assert_eq(sycamorelock("--help").status, 0);
+    cr_assert_eq(sycamorelock("--version").status, 0);
+}
+
+Test(cli, status_explain_metrics_and_drain_of_a_running_instance)
+{
+    fleet running(usual_plan(1));
+    const std::string first = "--at " + running.at(0).operator_address() + ' ';
+    const std::string second = "--at " + running.at(1).operator_address() + ' ';
+    const answer got = ask_now(running.make_call(0, "north", "planner"));
+    cr_assert(got.completed());
+
+    const outcome status = sycamorelock(first + "status");
+    cr_assert_eq(status.status, 0);
+    cr_assert(says(status, "a1"), "%s", status.text.c_str());
+
+    const outcome explained = sycamorelock(first + "explain " + got.request_id);
+    cr_assert_eq(explained.status, 0, "%s", explained.text.c_str());
+    cr_assert(says(explained, "account: north"));
+    cr_assert(says(explained, "service: planner"));
+    cr_assert(says(explained, "attempts: 1"));
+    cr_assert(says(explained, "state: ended"));
+
+    const outcome elsewhere =
+        sycamorelock(second + "explain " + got.request_id);
+    cr_assert_eq(elsewhere.status, 1);
+    cr_assert(says(elsewhere, "accepted by instance a1"), "%s",
+              elsewhere.text.c_str());
+    cr_assert_eq(sycamorelock(first + "explain nonsense").status, 1);
+
+    call late = running.make_call(0, "north", "desk");
+    late.fields["Idempotency-Key"] = make_key(std::chrono::hours(2));
+    const answer refused = ask_now(late);
+    cr_assert_eq(refused.status, 422U, "%u %s", refused.status,
+                 refused.body.c_str());
+    const outcome why = sycamorelock(first + "explain " + refused.request_id);
+    cr_assert(says(why, "reason: key_outside_memory"), "%s", why.text.c_str());
+    cr_assert(says(why, "executed: unknown"));
+
+    const outcome metrics = sycamorelock(first + "metrics");
+    cr_assert(says(metrics, "sycamorelock_refused_total{reason=\""));
+    cr_assert(says(metrics, "sycamorelock_retries_total{reason=\""));
+
+    cr_assert_eq(sycamorelock(first + "drain").status, 0);
+    int ended = -1;
+    cr_assert(
+        running.wait_exit(running.at(0), std::chrono::seconds(20), &ended));
+    cr_assert_eq(ended, 0);
+}
--- a/utils/measurement/slopes.cpp
+++ b/utils/measurement/slopes.cpp
@@ -157,6 +157,26 @@
            {"bytes", size_of({report})}});
 }
 
+/// What a scheduler that joins, or follows a change of owners, is sent.
+void snapshot_slope(std::size_t accounts, std::size_t schedulers)
+{
+    snapshot known;
+    for (std::size_t i = 0; i < accounts; ++i)
+        known.items.push_back(
+            {account_id::of(std::to_string(i)), virtual_time(1e6)});
+    for (std::uint32_t epoch = 1; epoch <= schedulers; ++epoch)
+    {
+        snapshot::included_totals each{{}, epoch, {}};
+        for (std::size_t i = 0; i < accounts; ++i)
+            each.items.push_back({account_id::of(std::to_string(i)), 1000000});
+        known.included.push_back(std::move(each));
+    }
+    print({{"what", "snapshot"},
+           {"accounts", accounts},
+           {"schedulers", schedulers},
+           {"bytes", size_of({known})}});
+}
+
 membership members(std::size_t count)
 {
     membership list;
@@ -301,6 +321,7 @@
     request_messages();
     for (const std::size_t accounts : {1U, 10U, 72U, 256U})
         report_slope(accounts);
+    snapshot_slope(720, 8);
     for (const std::size_t instances : {6U, 50U, 370U, 1000U})
         gossip_slope(instances);
     for (const std::size_t accounts : {16U, 720U, 5000U})
