Claims of keys: two guards now have a core test that fails without them

Cause: with the majority rule taken out, or with "no" said of a key whose claim was not granted, all core tests still passed.

claims_test: a minority grants no key (fails without the majority rule), and a key that ran is never said not to have run (fails without the rule for unclaimed keys). Ruled out as gaps: comparing list versions and the age of a grant are second guards; without them the owner's age and the lease still refuse.

--- /dev/null
+++ b/packages/core/unittests/claims_test.cpp
@@ -0,0 +1,66 @@
+// Idempotency keys over several cores: where a claim must not be granted, and
+// what may be said of a key that was refused.
+#include "fake_fleet.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace sycamorelock::core;
+using namespace sycamorelock::core::testing;
+
+namespace
+{
+
+/// Past the time in which new owners trust no key.
+constexpr duration past_the_lag = std::chrono::seconds(10);
+
+int runs_of(fake_fleet& fleet, const std::vector<request_id>& ids)
+{
+    int runs = 0;
+    for (const request_id& id : ids)
+        runs += fleet.outcomes().at(id).runs;
+    return runs;
+}
+
+/// Submits as many fresh keys, each once, and waits for their ends.
+std::vector<request_id> submit_keys(fake_fleet& fleet, std::size_t entry,
+                                    std::uint64_t first, std::uint64_t count)
+{
+    std::vector<request_id> ids;
+    for (std::uint64_t i = 0; i < count; ++i)
+        ids.push_back(
+            fleet.submit(entry, 0, false, fleet.make_key(0, first + i)));
+    fleet.advance(std::chrono::seconds(20));
+    return ids;
+}
+
+} // namespace
+
+Test(claims, a_minority_grants_no_key_and_a_majority_goes_on)
+{
+    fake_fleet fleet({});
+    fleet.advance(past_the_lag);
+    fleet.cut_domain(2, true);
+    fleet.advance(past_the_lag);
+    // A third of the keys is owned within the domain that is cut off.
+    const auto minority = submit_keys(fleet, 4, 0, 30);
+    cr_assert_eq(runs_of(fleet, minority), 0);
+    const auto majority = submit_keys(fleet, 0, 100, 30);
+    cr_assert(runs_of(fleet, majority) > 0);
+}
+
+Test(claims, a_key_that_ran_is_never_said_not_to_have_run)
+{
+    fake_fleet fleet({});
+    fleet.advance(past_the_lag);
+    const idempotency_key key = fleet.make_key(0, 1);
+    const request_id first = fleet.submit(0, 0, false, key);
+    fleet.advance(std::chrono::seconds(5));
+    cr_assert_eq(fleet.outcomes().at(first).completed, 1);
+    // The repeat is refused before the key's owner is asked.
+    fleet.stop_accepting(1);
+    const request_id repeat = fleet.submit(1, 0, false, key);
+    const outcome& said = fleet.outcomes().at(repeat);
+    cr_assert_eq(said.refused, 1);
+    cr_assert(said.reason == refusal_reason::shutting_down);
+    cr_assert(said.ran == executed::unknown);
+}
--- a/packages/core/unittests/fake_fleet.cpp
+++ b/packages/core/unittests/fake_fleet.cpp
@@ -409,6 +409,12 @@
     start(index);
 }
 
+void fake_fleet::stop_accepting(std::size_t index)
+{
+    nodes_.at(index)->core->handle(current(), [](control_state& s)
+                                   { s.stop_accepting(); });
+}
+
 void fake_fleet::pause(std::size_t index)
 {
     nodes_.at(index)->paused = true;
--- a/packages/core/unittests/fake_fleet.hpp
+++ b/packages/core/unittests/fake_fleet.hpp
@@ -74,6 +74,8 @@
 
     void kill(std::size_t index);
     void restart(std::size_t index);
+    /// The entry refuses new requests, as at the end of a graceful shutdown.
+    void stop_accepting(std::size_t index);
     void pause(std::size_t index);
     void resume(std::size_t index);
     /// Messages between the two sets are lost while a domain is cut off.
