Retries after a failed connect are counted as such

Cause: the reason connect_failed stood in the metrics and was never raised; a failed connect counted as nothing_sent.

An attempt that found no connection now ends as not_connected. A core test sees the counter rise and the request complete once.

--- a/packages/adapters/lib/endpoint_call.cpp
+++ b/packages/adapters/lib/endpoint_call.cpp
@@ -309,8 +309,10 @@
     const endpoint_route* route = routes->endpoint(order_.endpoint);
     started_ = now();
     next_progress_ = started_ + progress_period;
-    if (route == nullptr || !co_await open(*route, false))
+    if (route == nullptr)
         co_return result(attempt_end::nothing_sent);
+    if (!co_await open(*route, false))
+        co_return result(attempt_end::not_connected);
     bool answered = co_await send() && co_await read_header();
     if (!answered && pooled_ && sent_ && !aborted_)
     {
--- a/packages/core/include/sycamorelock/core/entry.hpp
+++ b/packages/core/include/sycamorelock/core/entry.hpp
@@ -32,6 +32,8 @@
     completed,
     /// No byte of the request left this instance.
     nothing_sent,
+    /// There was no connection to send anything on.
+    not_connected,
     /// Sent, but no byte of an answer went to the caller.
     failed_before_answer,
     /// The answer had begun; the caller's connection was cut.
--- a/packages/core/lib/entry.cpp
+++ b/packages/core/lib/entry.cpp
@@ -252,10 +252,15 @@
         out_.note(event_number::request_completed, to_string(result.request));
         close(now, found);
         return;
+    case attempt_end::not_connected:
     case attempt_end::nothing_sent:
         send_release(request, cost(0), attempt_outcome::endpoint_failed,
                      duration(0));
-        retry_or_refuse(now, found, retry_reason::nothing_sent, executed::no);
+        retry_or_refuse(now, found,
+                        result.end == attempt_end::not_connected
+                            ? retry_reason::connect_failed
+                            : retry_reason::nothing_sent,
+                        executed::no);
         return;
     case attempt_end::failed_before_answer:
         send_release(request, result.total, attempt_outcome::endpoint_failed,
--- a/packages/core/unittests/fake_fleet.cpp
+++ b/packages/core/unittests/fake_fleet.cpp
@@ -248,6 +248,13 @@
         runs_.push_back(made);
         return;
     }
+    if (chance(chances_.not_connected))
+    {
+        made.result.end = attempt_end::not_connected;
+        made.done = now_ + step;
+        runs_.push_back(made);
+        return;
+    }
     ++known.runs;
     boost::random::uniform_int_distribution<std::int64_t> draw(plan_.least_cost,
                                                                plan_.most_cost);
--- a/packages/core/unittests/fake_fleet.hpp
+++ b/packages/core/unittests/fake_fleet.hpp
@@ -21,6 +21,7 @@
     unsigned duplicate = 0;
     unsigned slow = 0;
     unsigned nothing_sent = 0;
+    unsigned not_connected = 0;
     unsigned fails = 0;
 };
 
--- a/packages/core/unittests/regression_test.cpp
+++ b/packages/core/unittests/regression_test.cpp
@@ -34,3 +34,26 @@
     cr_assert_eq(known.runs, 1);
     cr_assert(known.ran == executed::unknown);
 }
+
+// The counter of this reason stood in the metrics and was never raised.
+Test(regression, retries_after_a_failed_connect_are_counted_as_such)
+{
+    fake_fleet fleet({});
+    fleet.advance(std::chrono::seconds(3));
+    chances harm;
+    harm.not_connected = 100;
+    fleet.set_chances(harm);
+    const request_id id = fleet.submit(0, 0);
+    const auto retries = [&]
+    {
+        const auto reason =
+            static_cast<std::size_t>(retry_reason::connect_failed);
+        return fleet.state(0).retries().at(reason);
+    };
+    while (retries() == 0)
+        fleet.advance(std::chrono::milliseconds(10));
+    fleet.set_chances({});
+    fleet.advance(longest);
+    cr_assert_eq(fleet.outcomes().at(id).completed, 1);
+    cr_assert_eq(fleet.outcomes().at(id).runs, 1);
+}
