Service reports between full ones carry large movers only

Cause: with 16 accounts a report took 194 bytes to each of two peers, so the budget of 1000 bytes/s stretched its period to 0.39 s, and the gap of the atlas deployment was 4,876 of a bound of 4,820 that assumes 0.25 s. Most items were small accounts' lookups.

Ruled out: a larger budget (it is spent by every scheduler at the design size, too); a wider bound.

Now every report carries changes of who waits and lifts, and accounts that got at least a sixteenth of the foremost one's service; the rest follows once a second.

The first two fairness tests share their run.

--- a/packages/core/include/sycamorelock/core/service_exchange.hpp
+++ b/packages/core/include/sycamorelock/core/service_exchange.hpp
@@ -83,7 +83,8 @@
     [[nodiscard]] virtual_time to_virtual(account_id account,
                                           std::int64_t amount) const;
     [[nodiscard]] virtual_time counted_service(account_id account) const;
-    [[nodiscard]] std::vector<account_id> accounts_to_report();
+    [[nodiscard]] std::set<account_id> accounts_with_news(bool full);
+    [[nodiscard]] std::vector<account_id> accounts_to_report(bool full);
     [[nodiscard]] service_report::item report_item(account_id account);
     void note_waiting(time_point now, const service_report& message);
     void report(time_point now);
@@ -115,6 +116,7 @@
     /// Accounts with requests waiting at a peer, and until when that holds.
     std::map<shard_id, std::map<account_id, time_point>> waiting_at_;
     time_point next_report_;
+    time_point next_full_report_;
 
     /// Until a peer's virtual times have come, service is not reported.
     bool joining_;
--- a/packages/core/lib/service_exchange.cpp
+++ b/packages/core/lib/service_exchange.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <iterator>
 
 namespace sycamorelock::core
 {
@@ -16,6 +17,10 @@
 /// Size of a service report on the wire, measured by --slopes.
 constexpr std::size_t report_item_bytes = 9;
 constexpr std::size_t report_header_bytes = 50;
+/// Between full reports an account is left out that got less than this part of
+/// what the foremost one got.
+constexpr std::int64_t small_mover_part = 16;
+constexpr duration full_report_period = std::chrono::seconds(1);
 /// Totals told again in one report, on top of those that changed.
 constexpr std::size_t max_repeated_items = 16;
 /// Reports kept until the snapshot has come.
@@ -173,29 +178,48 @@
     }
 }
 
-std::vector<account_id> service_exchange::accounts_to_report()
+std::set<account_id> service_exchange::accounts_with_news(bool full)
 {
-    std::erase_if(unreported_, [](const auto& u) { return u.second == 0; });
     const auto backlogged = queue_.backlogged();
-    std::set<account_id> unchanged(backlogged.begin(), backlogged.end());
-    unchanged.insert(reported_waiting_.begin(), reported_waiting_.end());
-    unchanged.insert(lifted_.begin(), lifted_.end());
+    const std::set<account_id> waiting(backlogged.begin(), backlogged.end());
+    std::set<account_id> news = lifted_;
+    // Both who began to wait and who ceased to.
+    std::set_symmetric_difference(
+        waiting.begin(), waiting.end(), reported_waiting_.begin(),
+        reported_waiting_.end(), std::inserter(news, news.end()));
+    if (!full)
+        return news;
+    news.insert(waiting.begin(), waiting.end());
     std::size_t repeated = 0;
     for (const account_id account : repeat_)
     {
         if (repeated == max_repeated_items)
             break;
-        repeated += unchanged.insert(account).second ? 1 : 0;
+        repeated += news.insert(account).second ? 1 : 0;
     }
-    // The largest movers first: they shift shares the most.
+    return news;
+}
+
+std::vector<account_id> service_exchange::accounts_to_report(bool full)
+{
+    std::erase_if(unreported_, [](const auto& u) { return u.second == 0; });
+    std::set<account_id> news = accounts_with_news(full);
+    std::int64_t largest = 0;
+    for (const auto& [account, amount] : unreported_)
+        largest = std::max<std::int64_t>(largest, std::abs(amount));
+    // The largest movers first: they shift shares the most. Small ones can wait
+    // for the next full report, which makes the others shorter and denser.
     std::vector<std::pair<std::int64_t, account_id>> movers;
     for (const auto& [account, amount] : unreported_)
-        movers.emplace_back(-std::abs(amount), account);
-    for (const account_id account : unchanged)
     {
-        if (!unreported_.contains(account))
-            movers.emplace_back(0, account);
+        const bool small = std::abs(amount) * small_mover_part < largest;
+        if (small && !full && !news.contains(account))
+            continue;
+        movers.emplace_back(-std::abs(amount), account);
+        news.erase(account);
     }
+    for (const account_id account : news)
+        movers.emplace_back(0, account);
     std::sort(movers.begin(), movers.end());
     if (movers.size() > options_.max_report_items)
         movers.resize(options_.max_report_items);
@@ -228,8 +252,11 @@
 {
     if (joining_ || now < next_report_ || owners_.empty())
         return;
+    const bool full = now >= next_full_report_;
+    if (full)
+        next_full_report_ = now + full_report_period;
     service_report message{id_, epoch_, {}};
-    for (const account_id account : accounts_to_report())
+    for (const account_id account : accounts_to_report(full))
         message.items.push_back(report_item(account));
     if (message.items.empty())
         return;
--- a/test/integration/fairness_test.cpp
+++ b/test/integration/fairness_test.cpp
@@ -44,11 +44,20 @@
     return result;
 }
 
-} // namespace
+struct steady_run
+{
+    double gap = 0;
+    long lost = 0;
+    long foreign = 0;
+    double broken = 0;
+};
 
-Test(fairness, gap_is_bounded_with_accounts_on_different_domains)
+/// Accounts on different failure domains, eight seconds after three to begin.
+steady_run run_steadily(const std::string& scheduling)
 {
-    fleet running(usual_plan());
+    fleet_plan plan = usual_plan();
+    plan.scheduling = scheduling;
+    fleet running(plan);
     load work(running, "planner", 4, uneven_senders({0, 2, 4}), 1);
     work.start();
     std::this_thread::sleep_for(std::chrono::seconds(3));
@@ -56,28 +65,26 @@
     std::this_thread::sleep_for(std::chrono::seconds(8));
     const std::size_t to = work.moment();
     const tally& counted = work.stop();
-    const double gap = work.gap(from, to);
-    cr_log_warn("gap %.0f of %.0f tokens", gap, steady_bound);
-    cr_assert(gap <= steady_bound, "%f", gap);
-    cr_assert_eq(counted.lost, 0);
-    cr_assert_eq(counted.foreign, 0);
-    cr_assert_eq(broken_invariants(running), 0);
+    return {work.gap(from, to), counted.lost, counted.foreign,
+            broken_invariants(running)};
+}
+
+} // namespace
+
+Test(fairness, gap_is_bounded_with_accounts_on_different_domains)
+{
+    const steady_run seen = run_steadily("full");
+    cr_log_warn("gap %.0f of %.0f tokens", seen.gap, steady_bound);
+    cr_assert(seen.gap <= steady_bound, "%f", seen.gap);
+    cr_assert_eq(seen.lost, 0);
+    cr_assert_eq(seen.foreign, 0);
+    cr_assert_eq(seen.broken, 0);
 }
 
 Test(fairness, without_exchange_the_gap_breaks_the_bound)
 {
     // The same load on the baseline: shows that the test above can fail.
-    fleet_plan plan = usual_plan();
-    plan.scheduling = "no_exchange";
-    fleet running(plan);
-    load work(running, "planner", 4, uneven_senders({0, 2, 4}), 1);
-    work.start();
-    std::this_thread::sleep_for(std::chrono::seconds(3));
-    const std::size_t from = work.moment();
-    std::this_thread::sleep_for(std::chrono::seconds(8));
-    const std::size_t to = work.moment();
-    work.stop();
-    cr_assert(work.gap(from, to) > steady_bound);
+    cr_assert(run_steadily("no_exchange").gap > steady_bound);
 }
 
 Test(fairness, gap_comes_back_after_a_scheduler_is_killed)
