--- a/packages/core/unittests/claims_test.cpp
+++ b/packages/core/unittests/claims_test.cpp
@@ -64,3 +64,32 @@
     cr_assert(said.reason == refusal_reason::shutting_down);
     cr_assert(said.ran == executed::unknown);
 }
+
+Test(claims, an_owner_that_slept_through_its_removal_trusts_no_key_from_then)
+{
+    fake_fleet fleet({});
+    fleet.advance(past_the_lag);
+    fleet.pause(0);
+    fleet.publish_members({0}, std::chrono::milliseconds(100));
+    fleet.advance(past_the_lag);
+    std::vector<idempotency_key> keys;
+    std::vector<request_id> first;
+    for (std::uint64_t i = 0; i < 30; ++i)
+    {
+        keys.push_back(fleet.make_key(0, i));
+        first.push_back(fleet.submit(1, 0, false, keys.back()));
+    }
+    fleet.advance(std::chrono::seconds(20));
+    cr_assert(runs_of(fleet, first) > 0);
+    // It is listed again and owns a part of the keys, of which others remember
+    // that they ran. Its list is the same as the one that it fell asleep with.
+    fleet.publish_members({}, std::chrono::milliseconds(100));
+    fleet.resume(0);
+    fleet.advance(past_the_lag);
+    std::vector<request_id> again;
+    for (const idempotency_key& key : keys)
+        again.push_back(fleet.submit(2, 0, false, key));
+    fleet.advance(std::chrono::seconds(20));
+    for (std::size_t i = 0; i < keys.size(); ++i)
+        cr_assert(runs_of(fleet, {first[i], again[i]}) <= 1, "key %zu", i);
+}
--- a/packages/core/unittests/fake_fleet.cpp
+++ b/packages/core/unittests/fake_fleet.cpp
@@ -461,6 +461,9 @@
 {
     ++list_version_;
     current_list_ = make_members(without);
+    // An instance that sleeps finds only the newest list when it wakes.
+    std::erase_if(late_lists_, [this](const late_list& each)
+                  { return nodes_[each.node]->paused; });
     boost::random::uniform_int_distribution<std::int64_t> draw(
         0, most_lag.count());
     for (std::size_t i = 0; i < nodes_.size(); ++i)
