fair_queue::remove takes the id by value: use after free

Cause (address sanitizer, fair_queue_test): callers pass the id of the front request, which lives in the entry that remove() frees; the deadline was then erased by freed memory, so it could stay behind.

The existing tests cover it under the sanitizer.

--- a/packages/core/include/sycamorelock/core/fair_queue.hpp
+++ b/packages/core/include/sycamorelock/core/fair_queue.hpp
@@ -81,7 +81,8 @@
     [[nodiscard]] const waiting_request*
     first_movable(const account_condition& allowed) const;
 
-    std::optional<waiting_request> remove(const request_id& id);
+    /// Takes the id by value: callers pass the id of the request that goes.
+    std::optional<waiting_request> remove(request_id id);
     [[nodiscard]] bool contains(const request_id& id) const;
 
     /// Adds service to an account; a negative amount corrects an estimate.
--- a/packages/core/lib/fair_queue.cpp
+++ b/packages/core/lib/fair_queue.cpp
@@ -129,7 +129,7 @@
     return nullptr;
 }
 
-std::optional<waiting_request> fair_queue::remove(const request_id& id)
+std::optional<waiting_request> fair_queue::remove(request_id id)
 {
     const auto found = index_.find(id);
     if (found == index_.end())
