--- a/packages/core/include/sycamorelock/core/service_exchange.hpp
+++ b/packages/core/include/sycamorelock/core/service_exchange.hpp
@@ -70,6 +70,9 @@
     struct totals_seen
     {
         account_totals totals;
+        /// Totals that a snapshot told before their reports arrived. A lower
+        /// one in a report is older, not a correction.
+        account_totals told_early;
         time_point heard;
     };
 
@@ -125,7 +128,9 @@
     time_point next_snapshot_request_;
     std::size_t snapshot_requests_ = 0;
     unsigned snapshots_due_ = 0;
-    bool snapshot_awaited_ = false;
+    /// Requests without an answer. Every answer counts, because a late one may
+    /// know less than the one after it.
+    unsigned snapshots_awaited_ = 0;
     bool has_snapshot_ = false;
 };
 
--- a/packages/core/lib/service_exchange.cpp
+++ b/packages/core/lib/service_exchange.cpp
@@ -123,9 +123,16 @@
 void service_exchange::count(totals_seen& seen,
                              const service_report::item& item)
 {
-    std::int64_t& seen_total = seen.totals[item.account];
-    add_service(item.account, item.total - seen_total);
-    seen_total = item.total;
+    const auto early = seen.told_early.find(item.account);
+    const bool late =
+        early != seen.told_early.end() && item.total < early->second;
+    if (!late)
+    {
+        std::int64_t& seen_total = seen.totals[item.account];
+        add_service(item.account, item.total - seen_total);
+        seen_total = item.total;
+        seen.told_early.erase(item.account);
+    }
     if (!item.lifted_to)
         return;
     queue_.adopt(item.account, *item.lifted_to + counted_service(item.account));
--- a/packages/core/lib/service_snapshots.cpp
+++ b/packages/core/lib/service_snapshots.cpp
@@ -63,7 +63,7 @@
         --snapshots_due_;
     next_snapshot_request_ =
         now + (joining_ ? snapshot_patience : options_.resync_period);
-    snapshot_awaited_ = true;
+    ++snapshots_awaited_;
     const auto turn = snapshot_requests_++ % owners_.size();
     const auto peer = std::next(owners_.begin(), static_cast<long>(turn));
     out_.send(peer->second, snapshot_request{peer->first});
@@ -107,9 +107,9 @@
 
 void service_exchange::on_snapshot(time_point now, const snapshot& message)
 {
-    if (!snapshot_awaited_)
+    if (snapshots_awaited_ == 0)
         return;
-    snapshot_awaited_ = false;
+    --snapshots_awaited_;
     has_snapshot_ = true;
     if (joining_)
         take_retired(message);
@@ -169,6 +169,7 @@
             if (news <= 0)
                 continue;
             seen_total = item.total;
+            seen.told_early[item.account] = item.total;
             add_service(item.account, news);
         }
     }
@@ -178,6 +179,7 @@
 void service_exchange::finish_joining(time_point now)
 {
     joining_ = false;
+    next_snapshot_request_ = now + options_.resync_period;
     const auto reports = std::move(early_reports_);
     early_reports_.clear();
     for (const auto& [from, early] : reports)
