One map of a service's owners serves peers and the hand-over

Read again: connect_peers and owners_of walked the same shards, the sending to owners stood twice in service_exchange, and whether a peer has a backlog twice in shard_moves. Each is one function now. limit_debt no longer copies the backlogged accounts on every report. Behaviour is the same.

--- a/packages/core/include/sycamorelock/core/control_state.hpp
+++ b/packages/core/include/sycamorelock/core/control_state.hpp
@@ -114,7 +114,8 @@
     void place_shards(moment now);
     void configure_scheduler(shard_scheduler& target, const shard_spec& shard);
     void connect_peers(moment now);
-    [[nodiscard]] std::set<instance_id> owners_of(service_id service);
+    /// Owners of the shards of a service that have one.
+    [[nodiscard]] std::map<shard_id, instance_id> owners_of(service_id service);
     void tell_versions(instance_id to);
     [[nodiscard]] config_version version() const;
 
--- a/packages/core/include/sycamorelock/core/service_exchange.hpp
+++ b/packages/core/include/sycamorelock/core/service_exchange.hpp
@@ -60,9 +60,10 @@
     void on_snapshot(time_point now, const snapshot& message);
     /// Sends what is due.
     void tick(time_point now);
-    /// Tells all totals, as the last thing before the shard is scheduled
-    /// elsewhere: nobody will report them again.
-    void hand_over(const std::set<instance_id>& receivers);
+    /// Tells all totals to the owners of the service's shards, as the last
+    /// thing before this one is scheduled elsewhere: nobody will report them
+    /// again.
+    void hand_over(std::map<shard_id, instance_id> owners);
 
   private:
     using totals_key = std::pair<shard_id, std::uint32_t>;
@@ -90,6 +91,8 @@
     [[nodiscard]] std::vector<account_id> accounts_to_report(bool full);
     [[nodiscard]] service_report::item report_item(account_id account);
     void note_waiting(time_point now, const service_report& message);
+    /// Returns to how many instances it was sent.
+    std::size_t send_to_owners(const service_report& message);
     void report(time_point now);
     void ask_for_snapshot(time_point now);
     void finish_joining(time_point now);
--- a/packages/core/include/sycamorelock/core/shard_scheduler.hpp
+++ b/packages/core/include/sycamorelock/core/shard_scheduler.hpp
@@ -61,9 +61,9 @@
     /// Gives waiting requests back before the shard moves to another owner.
     void abandon();
     /// Tells the service given here, before the shard moves to another owner.
-    void hand_over(const std::set<instance_id>& receivers)
+    void hand_over(std::map<shard_id, instance_id> owners)
     {
-        exchange_.hand_over(receivers);
+        exchange_.hand_over(std::move(owners));
     }
 
     [[nodiscard]] shard_id id() const { return id_; }
@@ -99,6 +99,9 @@
         virtual_time next;
         time_point at;
         bool known = false;
+
+        /// It said recently that requests wait there.
+        [[nodiscard]] bool has_backlog(time_point now) const;
     };
     struct moved_request
     {
--- a/packages/core/lib/control_state.cpp
+++ b/packages/core/lib/control_state.cpp
@@ -224,9 +224,9 @@
     connect_peers(now);
 }
 
-std::set<instance_id> control_state::owners_of(service_id service)
+std::map<shard_id, instance_id> control_state::owners_of(service_id service)
 {
-    std::set<instance_id> owners;
+    std::map<shard_id, instance_id> owners;
     const auto* shards = directory_.shards(service);
     if (shards == nullptr)
         return owners;
@@ -234,7 +234,7 @@
     {
         const auto owner = directory_.owner(shard.id);
         if (owner)
-            owners.insert(*owner);
+            owners.emplace(shard.id, *owner);
     }
     return owners;
 }
@@ -245,14 +245,8 @@
         return;
     for (auto& [id, scheduler] : schedulers_)
     {
-        std::map<shard_id, instance_id> peers;
-        for (const shard_spec& other : *directory_.shards(id.service))
-        {
-            const auto owner = directory_.owner(other.id);
-            if (other.id == id || !owner)
-                continue;
-            peers.emplace(other.id, *owner);
-        }
+        std::map<shard_id, instance_id> peers = owners_of(id.service);
+        peers.erase(id);
         scheduler->set_peers(now.now, std::move(peers));
     }
 }
--- a/packages/core/lib/fair_queue.cpp
+++ b/packages/core/lib/fair_queue.cpp
@@ -176,8 +176,8 @@
 std::vector<account_id> fair_queue::limit_debt()
 {
     virtual_time most = system_time_;
-    for (const account_id account : backlogged())
-        most = std::max(most, accounts_.at(account).at);
+    for (const turn& each : turns_)
+        most = std::max(most, accounts_.at(each.second).at);
     return lift_to(most - options_.catch_up_cap);
 }
 
--- a/packages/core/lib/service_exchange.cpp
+++ b/packages/core/lib/service_exchange.cpp
@@ -267,21 +267,27 @@
         message.items.push_back(report_item(account));
     if (message.items.empty())
         return;
-    const std::set<instance_id> peers = receivers();
-    for (const instance_id peer : peers)
-        out_.send(peer, message);
+    const std::size_t sent = send_to_owners(message);
     const std::size_t bytes =
-        (report_header_bytes + report_item_bytes * message.items.size()) *
-        peers.size();
+        (report_header_bytes + report_item_bytes * message.items.size()) * sent;
     const auto by_budget =
         std::chrono::microseconds(bytes * 1000000 / options_.bytes_per_second);
     next_report_ = now + std::max<duration>(options_.period, by_budget);
 }
 
-void service_exchange::hand_over(const std::set<instance_id>& receivers)
+std::size_t service_exchange::send_to_owners(const service_report& message)
+{
+    const std::set<instance_id> owners = receivers();
+    for (const instance_id owner : owners)
+        out_.send(owner, message);
+    return owners.size();
+}
+
+void service_exchange::hand_over(std::map<shard_id, instance_id> owners)
 {
     if (!options_.enabled || totals_.empty())
         return;
+    owners_ = std::move(owners);
     service_report message{id_, epoch_, {}};
     for (const auto& [account, total] : totals_)
     {
@@ -290,8 +296,7 @@
         repeat_.insert(account);
         message.items.push_back(report_item(account));
     }
-    for (const instance_id receiver : receivers)
-        out_.send(receiver, message);
+    send_to_owners(message);
 }
 
 void service_exchange::tick(time_point now)
--- a/packages/core/lib/shard_moves.cpp
+++ b/packages/core/lib/shard_moves.cpp
@@ -18,6 +18,11 @@
 
 } // namespace
 
+bool shard_scheduler::peer_view::has_backlog(time_point now) const
+{
+    return known && now - at < advert_lifetime && backlog > 0;
+}
+
 void shard_scheduler::set_peers(time_point now,
                                 std::map<shard_id, instance_id> peers)
 {
@@ -63,8 +68,7 @@
     const virtual_time* least = nullptr;
     for (const auto& [shard, peer] : peers_)
     {
-        const bool fresh = peer.known && now - peer.at < advert_lifetime;
-        if (!fresh || peer.backlog == 0)
+        if (!peer.has_backlog(now))
             continue;
         if (least == nullptr || peer.next < *least)
             least = &peer.next;
@@ -230,7 +234,7 @@
 {
     for (const auto& [shard, peer] : peers_)
     {
-        if (peer.known && now - peer.at < advert_lifetime && peer.backlog > 0)
+        if (peer.has_backlog(now))
             return true;
     }
     return false;
