Accounts are held to what they got against max-min shares

Now an account's served tokens, summed over the fleet, are held against its share of the nominal throughput and of the one reached; what is owed may wait 0.6 of the objective, what is not 0.15 down to 0.02.

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -317,10 +317,10 @@
 
 void attempt::note_first()
 {
-    if (first_seen_)
+    if (first_at_ != core::time_point())
         return;
-    first_seen_ = true;
-    context_.router.first_token(now(), placed_, sent_at_);
+    first_at_ = now();
+    context_.router.first_token(first_at_, placed_, sent_at_);
 }
 
 asio::awaitable<attempt_end> attempt::relay_events()
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -73,6 +73,8 @@
     /// Status of the endpoint's answer, 0 if there was none.
     [[nodiscard]] unsigned status() const { return status_; }
     [[nodiscard]] std::string_view why() const { return why_; }
+    /// When the first event, or a whole answer, came; zero if none did.
+    [[nodiscard]] core::time_point first_at() const { return first_at_; }
 
   private:
     using answer_parser = http::response_parser<http::buffer_body>;
@@ -110,7 +112,7 @@
     core::time_point sent_at_;
     unsigned status_ = 0;
     std::string_view why_ = "";
-    bool first_seen_ = false;
+    core::time_point first_at_;
     bool abandoned_ = false;
     bool silent_ = false;
 };
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -297,6 +297,8 @@
         attempt_ = &tried;
         const attempt_end end = co_await tried.run();
         attempt_ = nullptr;
+        if (request.first == core::time_point())
+            request.first = tried.first_at();
         if (stop_ == stop::caller_left ||
             (end == attempt_end::abandoned && stop_ == stop::none))
         {
@@ -478,13 +480,15 @@
     const core::duration total = now() - request.profile.arrived;
     context_.metrics.of(request.service_name)
         .total.record(std::chrono::duration<double>(total).count());
-    context_.log.write(direct_event::request_ended,
-                       {{"request", request.meta.attempt_id},
-                        {"outcome", std::string(outcome)},
-                        {"status", std::to_string(status)},
-                        {"attempts", std::to_string(request.attempts)},
-                        {"events", std::to_string(request.events.count())},
-                        {"total_ms", ms_text(total)}});
+    context_.log.write(
+        direct_event::request_ended,
+        {{"request", request.meta.attempt_id},
+         {"outcome", std::string(outcome)},
+         {"status", std::to_string(status)},
+         {"attempts", std::to_string(request.attempts)},
+         {"events", std::to_string(request.events.count())},
+         {"first_ms", ms_text(request.first - request.profile.arrived)},
+         {"total_ms", ms_text(total)}});
 }
 
 void request_session::stop_request(stop why)
--- a/packages/adapters/lib/direct/request_session.hpp
+++ b/packages/adapters/lib/direct/request_session.hpp
@@ -45,6 +45,8 @@
         std::string account_name;
         std::set<core::endpoint_id> tried;
         unsigned attempts = 0;
+        /// When the first event, or a whole answer, came.
+        core::time_point first;
         /// An endpoint may have begun to run it.
         bool may_have_run = false;
         event_splitter events;
--- a/packages/core/include/sycamorelock/core/direct/account_shares.hpp
+++ b/packages/core/include/sycamorelock/core/direct/account_shares.hpp
@@ -9,12 +9,24 @@
 namespace sycamorelock::core::direct
 {
 
-/// What an account asks of the fleet through one instance.
+/// What an account asked of the fleet and got through one instance lately.
 struct account_demand
 {
     account_id account;
     /// Tokens asked for, per second.
-    double rate = 0;
+    double asked = 0;
+    /// Tokens of requests that were sent to an endpoint, per second.
+    double served = 0;
+};
+
+/// How an account stands against its share. 1 is exactly the share; 0 means
+/// that every demand can be met.
+struct account_standing
+{
+    /// Against the throughput that operators name.
+    double owed = 0;
+    /// Against the throughput that the engines reach at present.
+    double fair = 0;
 };
 
 /// The largest share `s` such that the sum of min(demand, s) is at most the
@@ -24,46 +36,52 @@
 class account_shares
 {
   public:
-    /// Demand is averaged over about this time: shares are judged by the
-    /// account over a few seconds, and a burst shows within one.
-    static constexpr duration averaging = std::chrono::milliseconds(2000);
+    /// Time over which rates are averaged. Shares are judged over some seconds,
+    /// and a flood should show within one.
+    static constexpr duration averaging = std::chrono::milliseconds(1500);
     static constexpr duration report_life = std::chrono::milliseconds(3000);
 
-    /// Notes a request and returns whether it lies within the account's share
-    /// of `throughput` (tokens per second over the whole fleet).
-    bool ask(time_point now, account_id account, double tokens,
-             double throughput);
+    /// Notes a request and tells how its account stands over the whole fleet.
+    /// \param throughput tokens per second that operators name; 0 if none.
+    account_standing ask(time_point now, account_id account, double tokens,
+                         double throughput);
+    /// Notes that a request was sent to an endpoint.
+    void serve(time_point now, account_id account, double tokens);
 
     void report(time_point now, instance_id from,
-                const std::vector<account_demand>& demands);
+                std::vector<account_demand> demands);
     [[nodiscard]] std::vector<account_demand> own(time_point now) const;
 
   private:
+    /// Exponentially averaged rate.
     struct meter
     {
         double rate = 0;
         time_point at;
-        /// Tokens that the account may still use within its share.
-        double credit = 0;
-        time_point credit_at;
 
-        void decay(time_point now);
+        void add(time_point now, double tokens);
         [[nodiscard]] double rate_at(time_point now) const;
     };
+    struct meters
+    {
+        meter asked;
+        meter served;
+    };
     struct instance_report
     {
         time_point at;
-        std::map<account_id, double> rates;
+        std::vector<account_demand> demands;
     };
 
-    [[nodiscard]] std::map<account_id, double>
-    fleet_rates(time_point now) const;
+    void refresh(time_point now, double throughput);
 
-    std::map<account_id, meter> meters_;
+    std::map<account_id, meters> own_;
     std::map<instance_id, instance_report> reports_;
-    double share_ = 0;
-    time_point share_at_;
-    std::map<account_id, double> total_;
+    /// Sums over the fleet, renewed a few times a second.
+    std::map<account_id, account_demand> fleet_;
+    double owed_share_ = 0;
+    double fair_share_ = 0;
+    time_point refreshed_at_;
 };
 
 } // namespace sycamorelock::core::direct
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -31,8 +31,15 @@
     time_point arrived;
     /// When the caller stops waiting.
     time_point deadline;
-    /// Result of the fair share check, made once for each request.
-    bool within_share = true;
+    /// How the account stood when the request came.
+    account_standing standing;
+
+    /// Tokens that count against the share of the account: generated ones cost
+    /// about twice as much as those that are read.
+    [[nodiscard]] double share_tokens() const
+    {
+        return prompt_tokens + 2 * output_tokens;
+    }
 };
 
 enum class refusal : std::uint8_t
--- a/packages/core/lib/direct/account_shares.cpp
+++ b/packages/core/lib/direct/account_shares.cpp
@@ -11,11 +11,8 @@
 namespace
 {
 
-/// How often the share is worked out anew: as often as reports come.
-constexpr duration share_period = std::chrono::milliseconds(100);
-/// Credit that an account may save, in seconds of its share: the shares are
-/// judged over about four seconds, and requests are large against one second.
-constexpr double saved_seconds = 2;
+/// How often the shares are worked out anew: as often as reports come.
+constexpr duration refresh_period = std::chrono::milliseconds(100);
 
 double seconds_between(time_point from, time_point to)
 {
@@ -45,9 +42,9 @@
     return std::numeric_limits<double>::infinity();
 }
 
-void account_shares::meter::decay(time_point now)
+void account_shares::meter::add(time_point now, double tokens)
 {
-    rate = rate_at(now);
+    rate = rate_at(now) + tokens / averaging_seconds();
     at = now;
 }
 
@@ -56,73 +53,70 @@
     return rate * std::exp(-seconds_between(at, now) / averaging_seconds());
 }
 
-std::map<account_id, double> account_shares::fleet_rates(time_point now) const
+void account_shares::refresh(time_point now, double throughput)
 {
-    std::map<account_id, double> result;
-    for (const auto& [id, own] : meters_)
-        result[id] += own.rate_at(now);
+    refreshed_at_ = now;
+    fleet_.clear();
+    for (const account_demand& demand : own(now))
+    {
+        fleet_[demand.account].asked += demand.asked;
+        fleet_[demand.account].served += demand.served;
+    }
     for (const auto& [instance, report] : reports_)
     {
         if (now - report.at > report_life)
             continue;
-        for (const auto& [id, rate] : report.rates)
-            result[id] += rate;
+        for (const account_demand& demand : report.demands)
+        {
+            fleet_[demand.account].asked += demand.asked;
+            fleet_[demand.account].served += demand.served;
+        }
     }
-    return result;
+    std::vector<double> asked;
+    double served = 0;
+    asked.reserve(fleet_.size());
+    for (const auto& [id, demand] : fleet_)
+    {
+        asked.push_back(demand.asked);
+        served += demand.served;
+    }
+    fair_share_ = max_min_share(std::max(throughput, served), asked);
+    owed_share_ = max_min_share(throughput, std::move(asked));
 }
 
-bool account_shares::ask(time_point now, account_id account, double tokens,
-                         double throughput)
+account_standing account_shares::ask(time_point now, account_id account,
+                                     double tokens, double throughput)
 {
-    meter& own = meters_[account];
-    own.decay(now);
-    own.rate += tokens / averaging_seconds();
+    own_[account].asked.add(now, tokens);
     if (throughput <= 0)
-        return true;
-    if (now - share_at_ >= share_period)
-    {
-        share_at_ = now;
-        total_ = fleet_rates(now);
-        std::vector<double> demands;
-        demands.reserve(total_.size());
-        for (const auto& [id, rate] : total_)
-            demands.push_back(rate);
-        share_ = max_min_share(throughput, std::move(demands));
-    }
-    const double all = std::max(total_[account], own.rate);
-    if (all <= share_)
-        return true;
-    // This instance may use the part of the share that its part of the
-    // account's demand amounts to.
-    const double allowed = share_ * own.rate / all;
-    const double most = std::max(allowed * saved_seconds, tokens);
-    const double earned = allowed * seconds_between(own.credit_at, now);
-    own.credit = std::min(own.credit + earned, most);
-    own.credit_at = now;
-    if (own.credit < tokens)
-        return false;
-    own.credit -= tokens;
-    return true;
+        return {};
+    if (now - refreshed_at_ >= refresh_period)
+        refresh(now, throughput);
+    const double served = fleet_[account].served;
+    return {served / owed_share_, served / fair_share_};
+}
+
+void account_shares::serve(time_point now, account_id account, double tokens)
+{
+    own_[account].served.add(now, tokens);
+    // Counts at once for this instance's next request of the account.
+    fleet_[account].served += tokens / averaging_seconds();
 }
 
 void account_shares::report(time_point now, instance_id from,
-                            const std::vector<account_demand>& demands)
+                            std::vector<account_demand> demands)
 {
-    instance_report& kept = reports_[from];
-    kept.at = now;
-    kept.rates.clear();
-    for (const account_demand& demand : demands)
-        kept.rates[demand.account] = demand.rate;
+    reports_[from] = {now, std::move(demands)};
 }
 
 std::vector<account_demand> account_shares::own(time_point now) const
 {
     std::vector<account_demand> result;
-    for (const auto& [id, own] : meters_)
+    for (const auto& [id, rates] : own_)
     {
-        const double rate = own.rate_at(now);
-        if (rate >= 1)
-            result.push_back({id, rate});
+        const double asked = rates.asked.rate_at(now);
+        if (asked >= 1)
+            result.push_back({id, asked, rates.served.rate_at(now)});
     }
     return result;
 }
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -34,9 +34,14 @@
 /// what runs.
 constexpr double cache_share = 0.6;
 /// Longest wait for earlier prompts, as a share of the tightest objective of
-/// the service, for requests within and beyond the share of their account.
+/// the service: for accounts within what operators owe them, and for those
+/// beyond it that have at most their fair part of what the engines reach. The
+/// second is short, so that what nobody is owed delays nobody much.
 constexpr double wait_share = 0.6;
-constexpr double wait_share_beyond = 0.25;
+constexpr double wait_share_beyond = 0.15;
+/// An account with this much more than its fair part waits for idle engines.
+constexpr double far_beyond = 1.4;
+constexpr double wait_share_far_beyond = 0.02;
 /// Wait for a slot of a plain service: mean work of one request, in ms, until
 /// observed otherwise.
 constexpr double plain_work_ms = 30;
@@ -83,6 +88,17 @@
     return asked.parts[last == 0 ? 0 : last - 1].key;
 }
 
+/// Longest wait as a share of the objective.
+double allowed_wait(const account_standing& standing)
+{
+    if (standing.owed <= 1)
+        return wait_share;
+    const double excess =
+        std::clamp((standing.fair - 1) / (far_beyond - 1), 0.0, 1.0);
+    return wait_share_beyond +
+           excess * (wait_share_far_beyond - wait_share_beyond);
+}
+
 double to_ms(duration value)
 {
     return std::chrono::duration<double, std::milli>(value).count();
@@ -154,9 +170,8 @@
     }
     if (!asked.account || asked.parts.empty())
         return;
-    const double tokens = asked.prompt_tokens + 2 * asked.output_tokens;
-    asked.within_share = shares_.ask(now, *asked.account, tokens,
-                                     config_->limits.tokens_per_second);
+    asked.standing = shares_.ask(now, *asked.account, asked.share_tokens(),
+                                 config_->limits.tokens_per_second);
 }
 
 service_id router::pick_service(const route& way)
@@ -254,11 +269,10 @@
         return std::nullopt;
     }
     const double objective = to_ms(config_->tightest_objective(kind.id));
-    if (!asked.within_share && best.wait_ms > objective * wait_share_beyond)
-        return refusal::beyond_share;
-    if (best.wait_ms > objective * wait_share)
-        return refusal::overloaded;
-    return std::nullopt;
+    if (best.wait_ms <= objective * allowed_wait(asked.standing))
+        return std::nullopt;
+    return asked.standing.owed > 1 ? refusal::beyond_share
+                                   : refusal::overloaded;
 }
 
 routing_decision router::decide(time_point now, const request_profile& asked,
@@ -316,10 +330,12 @@
     return made;
 }
 
-void router::sent(time_point, const request_profile& asked,
+void router::sent(time_point now, const request_profile& asked,
                   placement_decision& at)
 {
     ledger_.open(at.hold);
+    if (asked.account && !asked.parts.empty())
+        shares_.serve(now, *asked.account, asked.share_tokens());
     const service* kind = find_service(at.endpoint.service);
     if (kind == nullptr || !kind->is_engine() || asked.parts.empty())
         return;
--- a/packages/wire/lib/exchange_codec.cpp
+++ b/packages/wire/lib/exchange_codec.cpp
@@ -108,7 +108,8 @@
     {
         pb::AccountDemand& item = *out.add_demands();
         item.set_account(demand.account.value());
-        item.set_rate(static_cast<float>(demand.rate));
+        item.set_asked(static_cast<float>(demand.asked));
+        item.set_served(static_cast<float>(demand.served));
     }
     std::string bytes = out.SerializeAsString();
     const message_tag tag = make_tag(bytes, key);
@@ -146,8 +147,9 @@
     for (const pb::CacheNote& item : message.notes())
         report.notes.push_back(decode_note(item));
     for (const pb::AccountDemand& item : message.demands())
-        report.demands.push_back(
-            {core::account_id(item.account()), checked(item.rate())});
+        report.demands.push_back({core::account_id(item.account()),
+                                  checked(item.asked()),
+                                  checked(item.served())});
     return report;
 }
 
