--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -111,7 +111,7 @@
     watchdog::limit silence_;
     core::time_point sent_at_;
     unsigned status_ = 0;
-    std::string_view why_ = "";
+    std::string_view why_;
     core::time_point first_at_;
     bool abandoned_ = false;
     bool silent_ = false;
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -14,7 +14,6 @@
 {
 
 using core::direct::refusal_decision;
-using core::direct::route_kind;
 
 constexpr std::size_t read_size = 16 * 1024;
 /// Limits on callers while no configuration is in force.
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -162,9 +162,11 @@
     [[nodiscard]] candidate weigh(time_point now, const request_profile& asked,
                                   const endpoint_state& at,
                                   const service& kind) const;
-    [[nodiscard]] std::optional<refusal>
-    refuse_for_load(time_point now, const request_profile& asked,
-                    const service& kind, const candidate& best) const;
+    /// Wait, in ms, at which a request is refused rather than sent.
+    [[nodiscard]] double longest_wait(const request_profile& asked,
+                                      const service& kind) const;
+    refusal_decision refuse_for_load(const request_profile& asked,
+                                     double wait_ms);
     [[nodiscard]] double cache_capacity(endpoint_id engine,
                                         const service& kind) const;
     [[nodiscard]] const service* find_service(service_id id) const;
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -252,27 +252,25 @@
     return made;
 }
 
-std::optional<refusal> router::refuse_for_load(time_point now,
-                                               const request_profile& asked,
-                                               const service& kind,
-                                               const candidate& best) const
+double router::longest_wait(const request_profile& asked,
+                            const service& kind) const
 {
-    const double left = to_ms(asked.deadline - now);
-    if (best.wait_ms + best.read_ms > left)
-        return refusal::overloaded;
     if (!kind.is_engine())
-    {
-        const endpoint_work work = ledger_.total(best.state->record.id());
-        const double most = best.state->record.slots * (1 + plain_backlog);
-        if (work.waiting >= most)
-            return refusal::overloaded;
-        return std::nullopt;
-    }
-    const double objective = to_ms(config_->tightest_objective(kind.id));
-    if (best.wait_ms <= objective * allowed_wait(asked.standing))
-        return std::nullopt;
-    return asked.standing.owed > 1 ? refusal::beyond_share
-                                   : refusal::overloaded;
+        return plain_backlog * plain_work_ms;
+    return to_ms(config_->tightest_objective(kind.id)) *
+           allowed_wait(asked.standing);
+}
+
+refusal_decision router::refuse_for_load(const request_profile& asked,
+                                         double wait_ms)
+{
+    // Callers come back spread over the time that the backlog takes.
+    static constexpr double least_ms = 100;
+    std::uniform_real_distribution<double> spread(0.5, 1.5);
+    const double pause = std::max(least_ms, wait_ms) * spread(random_);
+    return {asked.standing.owed > 1 ? refusal::beyond_share
+                                    : refusal::overloaded,
+            milliseconds(static_cast<int>(pause)), wait_ms};
 }
 
 routing_decision router::decide(time_point now, const request_profile& asked,
@@ -287,6 +285,9 @@
     static constexpr milliseconds soon{500};
     if (kind == nullptr || listed == by_service_.end())
         return refusal_decision{refusal::no_endpoint, soon, 0};
+    const double allowed = repeated ? std::numeric_limits<double>::infinity()
+                                    : std::min(longest_wait(asked, *kind),
+                                               to_ms(asked.deadline - now));
     candidate best;
     best.cost = std::numeric_limits<double>::infinity();
     for (const endpoint_id id : listed->second)
@@ -301,20 +302,10 @@
     }
     if (best.state == nullptr)
         return refusal_decision{refusal::no_endpoint, soon, 0};
-    if (!repeated)
-    {
-        const auto refused = refuse_for_load(now, asked, *kind, best);
-        if (refused)
-        {
-            // Callers come back spread over the time that the backlog takes.
-            std::uniform_real_distribution<double> spread(0.5, 1.5);
-            const double wait = std::max(100.0, best.wait_ms);
-            return refusal_decision{
-                *refused,
-                milliseconds(static_cast<int>(wait * spread(random_))),
-                best.wait_ms};
-        }
-    }
+    // Not sent to an engine with a shorter wait that would read everything
+    // again: under load that takes more from others than a refusal does.
+    if (best.wait_ms > allowed)
+        return refuse_for_load(asked, best.wait_ms);
     placement_decision made;
     made.endpoint = best.state->record;
     made.wait_ms = best.wait_ms;
