Logs explained by request, settings read again, lines bounded and never waited for

Lines of one kind are capped at 200 a second; a test with a pipe that nobody reads found that the process did not end, because exit flushes the standard streams: it now leaves without that.

--- a/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
@@ -32,6 +32,12 @@
     /// Sends this instance's report to the others. Any thread.
     void publish(core::direct::exchange_report report);
 
+    /// Control thread.
+    void set_seeds(const std::vector<std::string>& seeds)
+    {
+        peers_.set_seeds(seeds);
+    }
+
     /// Stops being ready. Control thread.
     void leave();
 
--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
@@ -43,6 +43,7 @@
     void on_report(core::direct::exchange_report report);
     void forget_instance(core::instance_id gone);
     void set_fleet_size(std::size_t instances);
+    void set_retries(double ratio, double slack);
     /// Answers end their connection from now on.
     void leave();
     /// Stops accepting and closes idle connections; calls back when nothing is
--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -71,6 +71,9 @@
     store_history_gone = 3303,
     store_answer_malformed = 3304,
     lines_dropped = 3401,
+    lines_left_out = 3402,
+    settings_reloaded = 3501,
+    settings_refused = 3502,
 };
 
 /// Name and value pairs of one line.
@@ -113,10 +116,19 @@
     [[nodiscard]] std::map<std::uint16_t, std::uint64_t> counts() const;
 
   private:
+    /// Whether a line still fits in this second; `left_out` gets the number of
+    /// those that did not fit in an earlier one.
+    bool fits(std::uint16_t number, std::int64_t second,
+              std::uint64_t& left_out);
+
     std::string instance_;
     severity least_;
     mutable std::mutex mutex_;
     std::map<std::uint16_t, std::uint64_t> counts_;
+    /// Lines written in the second that began at `second_`, by number.
+    std::map<std::uint16_t, unsigned> written_;
+    std::int64_t second_ = 0;
+    std::uint64_t left_out_ = 0;
     class queued_writer;
     std::unique_ptr<queued_writer> queue_;
 };
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -221,6 +221,12 @@
                { impl->router().set_fleet_size(instances); });
 }
 
+void traffic_plane::set_retries(double ratio, double slack)
+{
+    asio::post(impl_->io(), [impl = impl_, ratio, slack]
+               { impl->router().set_retries(ratio, slack); });
+}
+
 void traffic_plane::leave()
 {
     asio::post(impl_->io(), [impl = impl_] { impl->leave(); });
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -130,8 +130,21 @@
                "An answer of the store could not be read."},
     event_kind{3401, warn, "lines_dropped",
                "Log lines were dropped because nobody read them fast enough."},
+    event_kind{3402, info, "lines_left_out",
+               "More lines of one kind came in a second than are written; the "
+               "counters have them all."},
+    event_kind{3501, info, "settings_reloaded",
+               "The settings file was read again and is in force."},
+    event_kind{3502, warn, "settings_refused",
+               "The settings file has a finding; the old settings stay in "
+               "force."},
 };
 
+/// Lines of one kind that are written in a second. Four times the usual load
+/// of an instance; one that is flooded would spend a fifth of its processor on
+/// lines (25 us each).
+constexpr unsigned most_lines_per_second = 200;
+
 log4cplus::LogLevel level_of(severity level)
 {
     switch (level)
@@ -310,6 +323,15 @@
         return;
     const auto at = std::chrono::duration_cast<std::chrono::milliseconds>(
         std::chrono::system_clock::now().time_since_epoch());
+    std::uint64_t left_out = 0;
+    if (queue_ &&
+        !fits(number,
+              std::chrono::duration_cast<std::chrono::seconds>(at).count(),
+              left_out))
+        return;
+    if (left_out > 0)
+        write(direct_event::lines_left_out,
+              {{"lines", std::to_string(left_out)}});
     boost::json::object line;
     line["ts_ms"] = at.count();
     line["level"] = name_of(level);
@@ -331,6 +353,22 @@
                  log4cplus::tstring(boost::json::serialize(line)));
 }
 
+bool event_log::fits(std::uint16_t number, std::int64_t second,
+                     std::uint64_t& left_out)
+{
+    const std::lock_guard lock(mutex_);
+    if (second != second_)
+    {
+        second_ = second;
+        written_.clear();
+        left_out = std::exchange(left_out_, 0);
+    }
+    if (++written_[number] <= most_lines_per_second)
+        return true;
+    ++left_out_;
+    return false;
+}
+
 std::string event_log::text() const
 {
     std::string out = "# HELP sycamorelock_events_total Events by number.\n"
--- /dev/null
+++ b/packages/cli/lib/log_explainer.cpp
@@ -0,0 +1,137 @@
+// Selects by request, instance and endpoint.
+#include "log_explainer.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <set>
+
+namespace sycamorelock
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+constexpr std::array<std::string_view, 5> common_fields{
+    "ts_ms", "level", "event", "name", "instance"};
+
+/// Events that change what an instance believes about everything it does.
+constexpr std::array<std::string_view, 6> beliefs{
+    "config_installed", "config_refused", "store_lost",
+    "store_back",       "peers_changed",  "draining"};
+
+std::string text_of(const json::object& in, std::string_view name)
+{
+    const json::value* found = in.if_contains(name);
+    if (found == nullptr)
+        return {};
+    return found->is_string() ? std::string(found->as_string())
+                              : json::serialize(*found);
+}
+
+log_line read_line(const json::object& in)
+{
+    log_line line;
+    const json::value* at = in.if_contains("ts_ms");
+    if (at != nullptr && at->is_number())
+        line.at_ms = at->to_number<std::int64_t>();
+    line.instance = text_of(in, "instance");
+    line.name = text_of(in, "name");
+    line.level = text_of(in, "level");
+    line.request = text_of(in, "request");
+    line.endpoint = text_of(in, "endpoint");
+    for (const auto& [name, value] : in)
+    {
+        if (std::find(common_fields.begin(), common_fields.end(), name) !=
+            common_fields.end())
+            continue;
+        if (!line.fields.empty())
+            line.fields += ' ';
+        line.fields += std::string(name) + '=' + text_of(in, name);
+    }
+    return line;
+}
+
+bool is_belief(const log_line& line)
+{
+    return std::find(beliefs.begin(), beliefs.end(), line.name) !=
+           beliefs.end();
+}
+
+} // namespace
+
+void log_explainer::read(std::istream& in)
+{
+    std::string text;
+    while (std::getline(in, text))
+    {
+        const std::size_t begin = text.find('{');
+        boost::system::error_code error;
+        const json::value value =
+            begin == std::string::npos
+                ? json::value()
+                : json::parse(std::string_view(text).substr(begin), error);
+        if (error || !value.is_object())
+        {
+            ++unreadable_;
+            continue;
+        }
+        lines_.push_back(read_line(value.as_object()));
+    }
+    std::stable_sort(lines_.begin(), lines_.end(),
+                     [](const log_line& a, const log_line& b)
+                     { return a.at_ms < b.at_ms; });
+}
+
+std::vector<log_line> log_explainer::story(const std::string& request) const
+{
+    std::vector<log_line> own;
+    std::set<std::string> instances;
+    std::set<std::string> endpoints;
+    for (const log_line& line : lines_)
+    {
+        if (line.request != request)
+            continue;
+        own.push_back(line);
+        instances.insert(line.instance);
+        if (!line.endpoint.empty())
+            endpoints.insert(line.endpoint);
+    }
+    if (own.empty())
+        return own;
+    // The newest of each kind of belief before the first decision.
+    std::map<std::string, log_line> before;
+    for (const log_line& line : lines_)
+    {
+        if (line.at_ms > own.front().at_ms)
+            break;
+        if (!instances.contains(line.instance) || !line.request.empty())
+            continue;
+        if (is_belief(line))
+            before[line.instance + '/' + line.name] = line;
+        else if (endpoints.contains(line.endpoint))
+            before[line.instance + '/' + line.endpoint] = line;
+    }
+    std::vector<log_line> result;
+    for (const auto& [key, line] : before)
+        result.push_back(line);
+    result.insert(result.end(), own.begin(), own.end());
+    std::stable_sort(result.begin(), result.end(),
+                     [](const log_line& a, const log_line& b)
+                     { return a.at_ms < b.at_ms; });
+    return result;
+}
+
+std::string to_string(const log_line& line)
+{
+    return std::to_string(line.at_ms) + ' ' + line.instance + ' ' + line.name +
+           (line.fields.empty() ? "" : " " + line.fields);
+}
+
+} // namespace sycamorelock
--- a/packages/cli/lib/main.cpp
+++ b/packages/cli/lib/main.cpp
@@ -1,6 +1,8 @@
 // sycamorelock: the operators' command line.
+#include "log_explainer.hpp"
 #include "operator_client.hpp"
 
+#include "sycamorelock/settings/direct_settings.hpp"
 #include "sycamorelock/settings/documents.hpp"
 #include "sycamorelock/settings/schema.hpp"
 
@@ -30,6 +32,9 @@
   sycamorelock check FILE...       check settings: process files, trees, lists
   sycamorelock status              state of an instance
   sycamorelock explain REQUEST     what happened to a request at its entry
+  sycamorelock explain REQUEST --log FILE...
+                                   the same from log files (- for standard
+                                   input) of any number of instances
   sycamorelock metrics             metrics in Prometheus text
   sycamorelock drain               start a graceful shutdown
   sycamorelock digest KEY          digest of an API key for the tree
@@ -61,6 +66,8 @@
     {
         if (has_key("accounts") || has_key("services"))
             read_tree(text, path, 1);
+        else if (is_direct(text))
+            read_direct(text, path);
         else if (has_key("instances"))
             read_members(text, path);
         else
@@ -138,6 +145,34 @@
     return exit_ok;
 }
 
+int explain_from_logs(const std::string& request,
+                      const std::vector<std::string>& files)
+{
+    sycamorelock::log_explainer logs;
+    for (const std::string& file : files)
+    {
+        if (file == "-")
+        {
+            logs.read(std::cin);
+            continue;
+        }
+        std::ifstream in(file);
+        if (!in)
+        {
+            std::cerr << "sycamorelock: cannot read " << file << '\n';
+            return exit_failed;
+        }
+        logs.read(in);
+    }
+    const auto story = logs.story(request);
+    for (const auto& line : story)
+        std::cout << to_string(line) << '\n';
+    if (story.empty())
+        std::cerr << "sycamorelock: no line tells of request " << request
+                  << " (" << logs.unreadable() << " unreadable lines)\n";
+    return story.empty() ? exit_failed : exit_ok;
+}
+
 int run(const cxxopts::ParseResult& given)
 {
     const auto& words = given.unmatched();
@@ -150,6 +185,12 @@
         return check(rest, as_json);
     if (command == "status" && rest.empty())
         return ask(at, "GET", "/status", !as_json);
+    if (command == "explain" && !rest.empty() && given.count("log") > 0)
+    {
+        auto files = given["log"].as<std::vector<std::string>>();
+        files.insert(files.end(), rest.begin() + 1, rest.end());
+        return explain_from_logs(rest.front(), files);
+    }
     if (command == "explain" && rest.size() == 1)
         return ask(at, "GET", "/explain?request=" + rest.front(), !as_json);
     if (command == "metrics" && rest.empty())
@@ -180,6 +221,7 @@
     options.add_options()("at", "operator port",
                           cxxopts::value<std::string>()->default_value(
                               "127.0.0.1:9100"))("json", "print JSON")(
+        "log", "log file", cxxopts::value<std::vector<std::string>>())(
         "h,help", "show help")("version", "show the version");
     try
     {
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -142,6 +142,13 @@
     /// This instance's part of the exchange since the previous call.
     void fill_report(time_point now, exchange_report& report);
     void set_fleet_size(std::size_t instances);
+    /// Changes the fleet's budget of repeats.
+    void set_retries(double ratio, double slack)
+    {
+        options_.retry_ratio = ratio;
+        options_.retry_slack = slack;
+        budgets_.clear();
+    }
 
     [[nodiscard]] const load_ledger& ledger() const { return ledger_; }
     [[nodiscard]] double slowness(time_point now, endpoint_id endpoint) const;
--- a/packages/daemon/lib/direct_daemon.cpp
+++ b/packages/daemon/lib/direct_daemon.cpp
@@ -12,7 +12,9 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
+#include <fstream>
 #include <random>
+#include <sstream>
 #include <thread>
 
 namespace sycamorelock
@@ -28,6 +30,8 @@
 
 /// Left of the time for a graceful shutdown when what is still open is cut.
 constexpr std::chrono::milliseconds shutdown_margin{300};
+/// How often the settings file is read to see a change without a signal.
+constexpr std::chrono::milliseconds settings_period{2000};
 constexpr unsigned ok = 200;
 constexpr unsigned not_found = 404;
 constexpr unsigned unavailable = 503;
@@ -43,8 +47,8 @@
 class direct_instance
 {
   public:
-    explicit direct_instance(const settings::direct_settings& settings)
-        : settings_(settings),
+    direct_instance(const settings::direct_settings& settings, std::string path)
+        : settings_(settings), path_(std::move(path)),
           log_(settings.name, settings.log_level,
                adapters::log_output::standard_output_queued),
           dialect_(adapters::direct::table_of<platform::dialect>()),
@@ -54,7 +58,8 @@
                    { control_.publish(std::move(report)); }),
           control_(control_io_, settings, dialect_, log_, traffic_,
                    incarnation_now()),
-          signals_(control_io_, SIGTERM, SIGINT, SIGHUP), ending_(control_io_)
+          signals_(control_io_, SIGTERM, SIGINT, SIGHUP), ending_(control_io_),
+          settings_check_(control_io_)
     {
     }
 
@@ -96,6 +101,7 @@
         traffic_.start();
         control_.start();
         wait_for_signal();
+        watch_settings();
         log_.write(process_event::started,
                    {{"caller_address", settings_.caller_address},
                     {"peer_address", settings_.peer_address},
@@ -135,12 +141,66 @@
             {
                 if (error)
                     return;
-                if (which != SIGHUP)
+                if (which == SIGHUP)
+                    reload();
+                else
                     leave();
                 wait_for_signal();
             });
     }
 
+    [[nodiscard]] std::string read_file() const
+    {
+        std::ifstream in(path_);
+        std::ostringstream text;
+        text << in.rdbuf();
+        return text.str();
+    }
+
+    void watch_settings()
+    {
+        settings_check_.expires_after(settings_period);
+        settings_check_.async_wait(
+            [this](error_code error)
+            {
+                if (error)
+                    return;
+                if (read_file() != text_)
+                    reload();
+                watch_settings();
+            });
+    }
+
+    /// Puts checked settings in force, or keeps the old ones and tells why.
+    void reload()
+    {
+        text_ = read_file();
+        settings::direct_settings next;
+        try
+        {
+            next = settings::read_direct(text_, path_);
+        }
+        catch (const settings::settings_error& error)
+        {
+            for (const settings::finding& found : error.findings())
+                log_.write(adapters::direct_event::settings_refused,
+                           {{"finding", to_string(found)}});
+            return;
+        }
+        const bool moved = next.caller_address != settings_.caller_address ||
+                           next.peer_address != settings_.peer_address ||
+                           next.ready_address != settings_.ready_address ||
+                           next.store != settings_.store;
+        settings_.seeds = next.seeds;
+        settings_.linger = next.linger;
+        settings_.shutdown = next.shutdown;
+        control_.set_seeds(next.seeds);
+        traffic_.set_retries(next.retry_ratio, next.retry_slack);
+        log_.write(adapters::direct_event::settings_reloaded,
+                   {{"seeds", std::to_string(next.seeds.size())},
+                    {"restart_needed", moved ? "yes" : "no"}});
+    }
+
     /// Goes on serving while the balancer learns of it, then finishes what is
     /// open.
     void leave()
@@ -163,6 +223,8 @@
     }
 
     settings::direct_settings settings_;
+    std::string path_;
+    std::string text_;
     adapters::event_log log_;
     adapters::direct::dialect_table dialect_;
     boost::asio::io_context traffic_io_{1};
@@ -171,6 +233,7 @@
     adapters::direct::control_plane control_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer ending_;
+    boost::asio::steady_timer settings_check_;
     std::optional<page_server> readiness_;
     std::optional<page_server> operators_;
     bool leaving_ = false;
@@ -178,10 +241,11 @@
 
 } // namespace
 
-int run_direct_daemon(const settings::direct_settings& settings)
+int run_direct_daemon(const settings::direct_settings& settings,
+                      const std::string& path)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    direct_instance instance(settings);
+    direct_instance instance(settings, path);
     return instance.run();
 }
 
--- a/packages/daemon/lib/direct_daemon.hpp
+++ b/packages/daemon/lib/direct_daemon.hpp
@@ -3,11 +3,15 @@
 
 #include "sycamorelock/settings/direct_settings.hpp"
 
+#include <string>
+
 namespace sycamorelock
 {
 
-/// Runs until SIGTERM and the end of what was open by then.
+/// Runs until SIGTERM and the end of what was open by then. Reads the settings
+/// file again on SIGHUP and when its text has changed.
 /// \returns the exit code of the process.
-int run_direct_daemon(const settings::direct_settings& settings);
+int run_direct_daemon(const settings::direct_settings& settings,
+                      const std::string& path);
 
 } // namespace sycamorelock
--- a/packages/daemon/lib/main.cpp
+++ b/packages/daemon/lib/main.cpp
@@ -36,7 +36,13 @@
 {
     using namespace sycamorelock;
     if (settings::is_direct(text))
-        return run_direct_daemon(settings::read_direct(text, path));
+    {
+        const int code =
+            run_direct_daemon(settings::read_direct(text, path), path);
+        // All lines are written by now, or their reader has stopped; flushing
+        // the standard streams would then hang the end of the process.
+        std::_Exit(code);
+    }
     return run_daemon(settings::read_process(text, path));
 }
 
--- a/packages/settings/lib/schema.cpp
+++ b/packages/settings/lib/schema.cpp
@@ -225,6 +225,7 @@
 {
     std::string out;
     append_table(out, "Process file", process_table);
+    append_table(out, "Process file for direct routing", direct_table);
     append_table(out, "Accounts in the tree", account_table);
     append_table(out, "Services in the tree", service_table);
     append_table(out, "Endpoints of a service", endpoint_table);
--- a/test/integration/cli_test.cpp
+++ b/test/integration/cli_test.cpp
@@ -194,3 +194,40 @@
         running.wait_exit(running.at(0), std::chrono::seconds(20), &ended));
     cr_assert_eq(ended, 0);
 }
+
+Test(cli, explain_finds_the_story_of_a_request_in_logs)
+{
+    const scratch_file one(
+        "one.log",
+        R"(  1.5 edge-1 {"ts_ms":10,"level":"info","event":1101,"name":"config_installed","instance":"edge-1","version":"7"}
+no json here
+{"ts_ms":20,"level":"info","event":3101,"name":"endpoint_seen","instance":"edge-1","endpoint":"e1"}
+{"ts_ms":21,"level":"info","event":3101,"name":"endpoint_seen","instance":"edge-1","endpoint":"e2"}
+{"ts_ms":30,"level":"info","event":3001,"name":"request_placed","instance":"edge-1","request":"r1","endpoint":"e1"}
+{"ts_ms":50,"level":"info","event":3003,"name":"request_ended","instance":"edge-1","request":"r1","outcome":"cut"}
+)");
+    const scratch_file two(
+        "two.log",
+        R"({"ts_ms":40,"level":"info","event":3002,"name":"request_refused_directly","instance":"edge-2","request":"r2"}
+)");
+    const outcome found =
+        sycamorelock("explain r1 --log " + one.path() + " --log " + two.path());
+    cr_expect_eq(found.status, 0);
+    cr_expect(says(found, "10 edge-1 config_installed version=7"));
+    cr_expect(says(found, "20 edge-1 endpoint_seen endpoint=e1"));
+    cr_expect(says(found, "50 edge-1 request_ended request=r1 outcome=cut"));
+    cr_expect_not(says(found, "e2"));
+    cr_expect_not(says(found, "r2"));
+    const outcome none = sycamorelock("explain r9 --log " + one.path());
+    cr_expect_eq(none.status, 1);
+    cr_expect(says(none, "no line tells of request r9"));
+}
+
+Test(cli, check_knows_settings_of_direct_routing)
+{
+    const scratch_file bad("direct.yaml", "routing: direct\nstore: nowhere\n");
+    const outcome found = sycamorelock("check " + bad.path());
+    cr_expect_eq(found.status, 1);
+    cr_expect(says(found, "process.store"));
+    cr_expect(says(found, "process.caller_address: is required"));
+}
--- a/test/integration/direct_test.cpp
+++ b/test/integration/direct_test.cpp
@@ -336,3 +336,49 @@
     cr_expect_neq(metrics.find("refused_total{reason=\"no_endpoint\"}"),
                   std::string::npos);
 }
+
+Test(direct, settings_are_read_again_or_refused_with_every_finding)
+{
+    direct_fleet fleet({});
+    direct_instance& one = fleet.at(0);
+    const std::string good = fleet.settings_of(one);
+    fleet.write_settings(one, good + "retry_ratio: 7\nnonsense: 1\n");
+    kill(one.pid, SIGHUP);
+    cr_expect(eventually(
+        [&]
+        {
+            const std::string log = fleet.log_of(one);
+            return log.find("retry_ratio") != std::string::npos &&
+                   log.find("nonsense") != std::string::npos;
+        },
+        std::chrono::seconds(2)));
+    cr_expect_eq(ask(fleet.make_call(0)).status, 200U);
+    // Without a signal.
+    fleet.write_settings(one, good + "retry_ratio: 0.1\n");
+    cr_expect(eventually(
+        [&] {
+            return fleet.log_of(one).find("settings_reloaded") !=
+                   std::string::npos;
+        },
+        std::chrono::seconds(5)));
+}
+
+// A reader that does not read must hold up no request.
+Test(direct, a_log_that_nobody_reads_holds_up_nothing)
+{
+    direct_plan plan;
+    plan.unread_logs = true;
+    plan.instances = 1;
+    plan.events = 1;
+    direct_fleet fleet(plan);
+    for (int i = 0; i < 600; ++i)
+    {
+        const direct_answer got = ask(fleet.make_call(0, "/look/1"));
+        cr_assert_eq(got.status, 200U, "request %d", i);
+        cr_assert_lt(got.seconds, 1.0, "request %d", i);
+    }
+    kill(fleet.at(0).pid, SIGTERM);
+    int status = -1;
+    cr_expect(wait_for_exit(fleet.at(0).pid, std::chrono::seconds(6), &status));
+    fleet.at(0).pid = -1;
+}
--- a/test/standins/direct_fleet.cpp
+++ b/test/standins/direct_fleet.cpp
@@ -4,9 +4,11 @@
 #include <boost/asio/write.hpp>
 
 #include <csignal>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <sys/stat.h>
 #include <unistd.h>
 
 namespace standin
@@ -135,8 +137,13 @@
             directory_ + "/edge-" + std::to_string(i) + ".yaml";
         made.log_file = directory_ + "/edge-" + std::to_string(i) + ".log";
         std::filesystem::remove(made.log_file);
+        if (plan_.unread_logs)
+            mkfifo(made.log_file.c_str(), 0600);
         instances_.push_back(made);
     }
+    if (plan_.unread_logs)
+        unread_pipe_ =
+            open(instances_.front().log_file.c_str(), O_RDONLY | O_NONBLOCK);
     for (direct_instance& each : instances_)
         start(each);
     if (!plan_.store_down)
@@ -147,6 +154,8 @@
 {
     for (direct_instance& each : instances_)
         kill(each);
+    if (unread_pipe_ >= 0)
+        close(unread_pipe_);
     std::filesystem::remove_all(directory_);
 }
 
@@ -257,6 +266,17 @@
     return runs;
 }
 
+std::string direct_fleet::settings_of(const direct_instance& which)
+{
+    return text_of(which.settings_file);
+}
+
+void direct_fleet::write_settings(const direct_instance& which,
+                                  const std::string& text)
+{
+    std::ofstream(which.settings_file) << text;
+}
+
 std::string direct_fleet::log_of(const direct_instance& which)
 {
     return text_of(which.log_file);
--- a/test/standins/direct_fleet.hpp
+++ b/test/standins/direct_fleet.hpp
@@ -35,6 +35,8 @@
     std::chrono::milliseconds gap{10};
     /// Start the instances while the store is away.
     bool store_down = false;
+    /// Standard output goes to a pipe that nobody reads.
+    bool unread_logs = false;
 };
 
 /// A caller's request in the platform's dialect.
@@ -96,6 +98,8 @@
     int runs_of(const std::string& attempt_id);
     std::string page(const std::string& address, const std::string& path);
     std::string log_of(const direct_instance& which);
+    std::string settings_of(const direct_instance& which);
+    void write_settings(const direct_instance& which, const std::string& text);
 
   private:
     direct_plan plan_;
@@ -105,6 +109,8 @@
     std::vector<std::unique_ptr<direct_engine>> plain_;
     std::vector<direct_instance> instances_;
     int next_id_ = 0;
+    /// Read end of the pipe for unread logs, kept open.
+    int unread_pipe_ = -1;
 };
 
 direct_answer ask(const direct_call& what);
