--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -70,7 +70,13 @@
 
     [[nodiscard]] std::string describe() const
     {
-        return metrics_.text() + context_.log.text();
+        return metrics_.text() +
+               "# HELP sycamorelock_requests_open_elsewhere Requests that "
+               "other instances have open, as they last told.\n"
+               "# TYPE sycamorelock_requests_open_elsewhere gauge\n"
+               "sycamorelock_requests_open_elsewhere " +
+               std::to_string(router_.ledger().open_elsewhere()) + '\n' +
+               context_.log.text();
     }
 
     void on_report(const core::direct::exchange_report& report)
--- a/packages/core/include/sycamorelock/core/direct/load_ledger.hpp
+++ b/packages/core/include/sycamorelock/core/direct/load_ledger.hpp
@@ -67,6 +67,9 @@
     /// Work of the whole fleet at an endpoint.
     [[nodiscard]] endpoint_work total(endpoint_id endpoint) const;
 
+    /// Requests that the other instances have open, as they last told.
+    [[nodiscard]] unsigned open_elsewhere() const;
+
     /// This instance's own work, for its report.
     [[nodiscard]] std::vector<endpoint_work> own() const;
 
--- a/packages/core/lib/direct/load_ledger.cpp
+++ b/packages/core/lib/direct/load_ledger.cpp
@@ -72,6 +72,14 @@
     return sum;
 }
 
+unsigned load_ledger::open_elsewhere() const
+{
+    unsigned count = 0;
+    for (const auto& [endpoint, work] : others_)
+        count += work.waiting + work.running;
+    return count;
+}
+
 std::vector<endpoint_work> load_ledger::own() const
 {
     std::vector<endpoint_work> result;
--- a/test/integration/direct_test.cpp
+++ b/test/integration/direct_test.cpp
@@ -382,3 +382,39 @@
     cr_expect(wait_for_exit(fleet.at(0).pid, std::chrono::seconds(6), &status));
     fleet.at(0).pid = -1;
 }
+
+// Beyond a dozen instances the exchange goes by aggregators.
+Test(direct, every_instance_hears_of_the_work_of_all_others)
+{
+    for (const std::size_t instances : {3, 16})
+    {
+        direct_plan plan;
+        plan.instances = instances;
+        plan.events = 60;
+        plan.gap = milliseconds(50);
+        direct_fleet fleet(plan);
+        const std::string all =
+            "sycamorelock_peers_live " + std::to_string(instances - 1) + "\n";
+        const auto says = [&](std::size_t i, const std::string& words)
+        {
+            return fleet.page(fleet.at(i).metrics_address(), "/metrics")
+                       .find(words) != std::string::npos;
+        };
+        for (std::size_t i = 0; i < instances; ++i)
+            cr_assert(eventually([&] { return says(i, all); },
+                                 std::chrono::seconds(10)));
+        direct_call asked = fleet.make_call(1);
+        direct_answer got;
+        std::thread open([&] { got = ask(asked); });
+        for (std::size_t i = 0; i < instances; ++i)
+        {
+            const std::string told = "sycamorelock_requests_open_elsewhere " +
+                                     std::to_string(i == 1 ? 0 : 1) + "\n";
+            cr_expect(
+                eventually([&] { return says(i, told); }, milliseconds(1500)),
+                "instance %zu of %zu", i, instances);
+        }
+        open.join();
+        check_stream(got, asked, 60);
+    }
+}
