An account far beyond its fair part is refused also at idle engines

Ruled out: the wait prediction and the lag of reports (the test shows it with one router and one report).

--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -41,9 +41,12 @@
 /// second is short, so that what nobody is owed delays nobody much.
 constexpr double wait_share = 0.6;
 constexpr double wait_share_beyond = 0.15;
-/// An account with this much more than its fair part waits for idle engines.
-constexpr double far_beyond = 1.4;
-constexpr double wait_share_far_beyond = 0.02;
+/// An account that got this many times its fair part is refused even where no
+/// one waits, while others ask for more than they get: what it leaves goes to
+/// them. Otherwise an account whose prompts lie at idle engines got three
+/// times as much as one whose engines are busy.
+constexpr double far_beyond = 1.5;
+constexpr double wait_share_far_beyond = -0.01;
 /// Wait for a slot of a plain service: mean work of one request, in ms, until
 /// observed otherwise.
 constexpr double plain_work_ms = 30;
