--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -248,12 +248,6 @@
 asio::awaitable<bool> request_session::prepare(open_request& request)
 {
     request.config = context_.router.config();
-    if (!request.config || !context_.router.has_endpoints())
-    {
-        co_await answer_problem(http::status::service_unavailable, "not_ready",
-                                soon);
-        co_return false;
-    }
     std::string wrong;
     try
     {
@@ -263,10 +257,16 @@
     {
         wrong = error.what();
     }
+    if (!request.config || !context_.router.has_endpoints())
+    {
+        co_await reject(request, http::status::service_unavailable, "not_ready",
+                        soon);
+        co_return false;
+    }
     if (!wrong.empty())
     {
-        co_await answer_problem(http::status::bad_request, wrong,
-                                milliseconds(0));
+        co_await reject(request, http::status::bad_request, wrong,
+                        milliseconds(0));
         co_return false;
     }
     const core::direct::catalogue& config = *request.config;
@@ -275,8 +275,8 @@
                           path_of(request.message.target()));
     if (way == nullptr)
     {
-        co_await answer_problem(http::status::not_found, "no_route",
-                                milliseconds(0));
+        co_await reject(request, http::status::not_found, "no_route",
+                        milliseconds(0));
         co_return false;
     }
     const auto key = config.keys.find(request.meta.api_key);
@@ -287,8 +287,8 @@
     }
     else if (!way->anonymous && !config.accounts.empty())
     {
-        co_await answer_problem(http::status::unauthorized, "unknown_key",
-                                milliseconds(0));
+        co_await reject(request, http::status::unauthorized, "unknown_key",
+                        milliseconds(0));
         co_return false;
     }
     core::direct::request_profile& profile = request.profile;
@@ -307,6 +307,23 @@
     co_return true;
 }
 
+asio::awaitable<void> request_session::reject(const open_request& request,
+                                              http::status status,
+                                              std::string_view reason,
+                                              milliseconds retry_after)
+{
+    const std::uint64_t version = request.config ? request.config->version : 0;
+    context_.log.write(
+        direct_event::request_rejected,
+        {{"request", request.meta.attempt_id},
+         {"status", std::to_string(static_cast<unsigned>(status))},
+         {"reason", std::string(reason)},
+         {"host", std::string(request.message[http::field::host])},
+         {"path", std::string(path_of(request.message.target()))},
+         {"config", std::to_string(version)}});
+    co_await answer_problem(status, reason, retry_after);
+}
+
 asio::awaitable<void> request_session::carry_out(open_request& request)
 {
     auto decided = context_.router.decide(
--- a/packages/adapters/lib/direct/request_session.hpp
+++ b/packages/adapters/lib/direct/request_session.hpp
@@ -60,6 +60,10 @@
     /// Finds route, account and service; answers and returns false if it
     /// cannot.
     asio::awaitable<bool> prepare(open_request& request);
+    /// Refuses a request that no configuration in force allows.
+    asio::awaitable<void> reject(const open_request& request,
+                                 http::status status, std::string_view reason,
+                                 milliseconds retry_after);
     asio::awaitable<void> carry_out(open_request& request);
     asio::awaitable<void> deliver(open_request& request, held_answer answer,
                                   std::string_view outcome);
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -108,6 +108,9 @@
     event_kind{3005, warn, "foreign_answer",
                "An endpoint sent an answer to another request; it was "
                "skipped."},
+    event_kind{3006, info, "request_rejected",
+               "The configuration in force does not allow a request, or there "
+               "is none yet."},
     event_kind{3101, info, "endpoint_seen",
                "An endpoint registered or changed its entry."},
     event_kind{3102, info, "endpoint_drains",
--- a/test/integration/direct_test.cpp
+++ b/test/integration/direct_test.cpp
@@ -331,6 +331,18 @@
                    log.find("\"name\":\"endpoint_gone\"") != std::string::npos;
         },
         std::chrono::seconds(2)));
+    direct_call stranger = fleet.make_call(0);
+    stranger.key = "key-nobody";
+    cr_expect_eq(ask(stranger).status, 401U);
+    cr_expect(eventually(
+        [&]
+        {
+            return fleet.log_of(fleet.at(0))
+                       .find("\"request\":\"" + stranger.id +
+                             "\",\"status\":\"401\","
+                             "\"reason\":\"unknown_key\"") != std::string::npos;
+        },
+        std::chrono::seconds(2)));
     const std::string metrics =
         fleet.page(fleet.at(0).metrics_address(), "/metrics");
     cr_expect_neq(metrics.find("refused_total{reason=\"no_endpoint\"}"),
