--- a/packages/cli/lib/log_explainer.cpp
+++ b/packages/cli/lib/log_explainer.cpp
@@ -119,6 +119,7 @@
             before[line.instance + '/' + line.endpoint] = line;
     }
     std::vector<log_line> result;
+    result.reserve(before.size() + own.size());
     for (const auto& [key, line] : before)
         result.push_back(line);
     result.insert(result.end(), own.begin(), own.end());
--- a/test/standins/direct_store.cpp
+++ b/test/standins/direct_store.cpp
@@ -1,10 +1,10 @@
 // Everything in memory under one lock.
 #include "direct_store.hpp"
 
-#include <boost/beast/core/detail/base64.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
+#include <openssl/evp.h>
 
 namespace standin
 {
@@ -18,9 +18,12 @@
 
 std::string to_base64(const std::string& text)
 {
-    namespace base64 = boost::beast::detail::base64;
-    std::string out(base64::encoded_size(text.size()), '\0');
-    out.resize(base64::encode(out.data(), text.data(), text.size()));
+    std::string out((text.size() + 2) / 3 * 4 + 1, '\0');
+    const int size =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                        reinterpret_cast<const unsigned char*>(text.data()),
+                        static_cast<int>(text.size()));
+    out.resize(static_cast<std::size_t>(size));
     return out;
 }
 
