Distributions of first event, longest pause and whole time by service

Cause: the page for on-call promised a first-byte distribution that was declared and never recorded, and names held the service.

--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
@@ -11,12 +11,14 @@
 namespace sycamorelock::adapters::direct
 {
 
-/// Distributions of one service and kind of route.
+/// Distributions of one service, in seconds.
 struct service_latency
 {
-    latency_histogram wait;
-    latency_histogram first_byte;
+    /// From the request to the first event, or to a whole answer.
+    latency_histogram first;
+    /// Longest pause between events of an answer.
     latency_histogram pause;
+    /// From the request to its end.
     latency_histogram total;
 };
 
@@ -26,11 +28,8 @@
     std::uint64_t open = 0;
     std::uint64_t caller_connections = 0;
     std::uint64_t endpoint_connects = 0;
-    std::uint64_t events = 0;
-    std::uint64_t store_calls = 0;
     std::uint64_t reports_sent = 0;
     std::uint64_t reports_received = 0;
-    std::uint64_t report_bytes = 0;
     std::map<std::string, std::uint64_t> refused;
     std::map<std::string, std::uint64_t> retried;
     std::map<std::string, std::uint64_t> ended;
@@ -45,6 +44,11 @@
     }
     /// Prometheus text.
     [[nodiscard]] std::string text() const;
+
+  private:
+    void distributions(std::string& out, const std::string& name,
+                       const char* help,
+                       latency_histogram service_latency::*which) const;
 };
 
 } // namespace sycamorelock::adapters::direct
--- a/packages/adapters/include/sycamorelock/adapters/metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/metrics.hpp
@@ -25,6 +25,9 @@
     /// Appends Prometheus text.
     void print(std::string& out, const std::string& name,
                const std::string& help) const;
+    /// Appends the samples only, with further labels such as `service="x"`.
+    void print_samples(std::string& out, const std::string& name,
+                       const std::string& labels) const;
 
   private:
     struct state;
--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -323,6 +323,15 @@
     context_.router.first_token(first_at_, placed_, sent_at_);
 }
 
+void attempt::note_event()
+{
+    note_first();
+    const core::time_point at = now();
+    if (event_at_ != core::time_point())
+        longest_pause_ = std::max(longest_pause_, at - event_at_);
+    event_at_ = at;
+}
+
 asio::awaitable<attempt_end> attempt::relay_events()
 {
     const core::direct::route& way = *request_.profile.way;
@@ -351,7 +360,7 @@
             continue;
         if (!whole.empty())
         {
-            note_first();
+            note_event();
             if (request_.may_repeat)
                 expect_within(pause);
         }
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -75,6 +75,11 @@
     [[nodiscard]] std::string_view why() const { return why_; }
     /// When the first event, or a whole answer, came; zero if none did.
     [[nodiscard]] core::time_point first_at() const { return first_at_; }
+    /// Longest pause between two events.
+    [[nodiscard]] core::duration longest_pause() const
+    {
+        return longest_pause_;
+    }
 
   private:
     using answer_parser = http::response_parser<http::buffer_body>;
@@ -92,6 +97,7 @@
     attempt_end stopped(std::string_view why);
     void expect_within(milliseconds time);
     void note_first();
+    void note_event();
     void release();
     [[nodiscard]] core::direct::attempt_outcome
     outcome_of(attempt_end end) const;
@@ -113,6 +119,8 @@
     unsigned status_ = 0;
     std::string_view why_;
     core::time_point first_at_;
+    core::time_point event_at_;
+    core::duration longest_pause_{0};
     bool abandoned_ = false;
     bool silent_ = false;
 };
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -350,6 +350,8 @@
         attempt_ = nullptr;
         if (request.first == core::time_point())
             request.first = tried.first_at();
+        request.longest_pause =
+            std::max(request.longest_pause, tried.longest_pause());
         if (stop_ == stop::caller_left ||
             (end == attempt_end::abandoned && stop_ == stop::none))
         {
@@ -524,13 +526,26 @@
          {"config", std::to_string(request.config->version)}});
 }
 
+std::string request_session::first_text(const open_request& request)
+{
+    if (request.first == core::time_point())
+        return "none";
+    return ms_text(request.first - request.profile.arrived);
+}
+
 void request_session::log_end(const open_request& request,
                               std::string_view outcome, unsigned status)
 {
     ++context_.metrics.ended[std::string(outcome)];
     const core::duration total = now() - request.profile.arrived;
-    context_.metrics.of(request.service_name)
-        .total.record(std::chrono::duration<double>(total).count());
+    const auto seconds = [](core::duration value)
+    { return std::chrono::duration<double>(value).count(); };
+    service_latency& of = context_.metrics.of(request.service_name);
+    of.total.record(seconds(total));
+    if (request.first != core::time_point())
+        of.first.record(seconds(request.first - request.profile.arrived));
+    if (request.longest_pause > core::duration(0))
+        of.pause.record(seconds(request.longest_pause));
     context_.log.write(
         direct_event::request_ended,
         {{"request", request.meta.attempt_id},
--- a/packages/adapters/lib/direct/request_session.hpp
+++ b/packages/adapters/lib/direct/request_session.hpp
@@ -47,6 +47,7 @@
         unsigned attempts = 0;
         /// When the first event, or a whole answer, came.
         core::time_point first;
+        core::duration longest_pause{0};
         /// An endpoint may have begun to run it.
         bool may_have_run = false;
         event_splitter events;
@@ -79,6 +80,7 @@
                                          milliseconds retry_after);
     void log_placed(const open_request& request,
                     const core::direct::placement_decision& placed);
+    static std::string first_text(const open_request& request);
     void log_end(const open_request& request, std::string_view outcome,
                  unsigned status);
     void watch_caller();
--- a/packages/adapters/lib/direct/traffic_metrics.cpp
+++ b/packages/adapters/lib/direct/traffic_metrics.cpp
@@ -33,6 +33,17 @@
 
 } // namespace
 
+void direct_metrics::distributions(
+    std::string& out, const std::string& name, const char* help,
+    latency_histogram service_latency::*which) const
+{
+    family(out, name, "histogram", help);
+    for (const auto& [service, of] : latency)
+        ((*of).*which)
+            .print_samples(out, "sycamorelock_" + name,
+                           "service=\"" + service + '"');
+}
+
 std::string direct_metrics::text() const
 {
     std::string out;
@@ -53,13 +64,14 @@
              "Attempts repeated elsewhere, by how the attempt ended.", retried);
     labelled(out, "ended_total", "outcome", "Requests ended, by outcome.",
              ended);
-    for (const auto& [service, of] : latency)
-    {
-        of->total.print(out, "sycamorelock_total_seconds_" + service,
-                        "Time from the request to the end of its answer.");
-        of->first_byte.print(out, "sycamorelock_first_seconds_" + service,
-                             "Time from the request to the first event.");
-    }
+    distributions(out, "first_seconds",
+                  "From the request to the first event or whole answer.",
+                  &service_latency::first);
+    distributions(out, "pause_seconds",
+                  "Longest pause between events of an answer.",
+                  &service_latency::pause);
+    distributions(out, "total_seconds", "From the request to its end.",
+                  &service_latency::total);
     return out;
 }
 
--- a/packages/adapters/lib/metrics.cpp
+++ b/packages/adapters/lib/metrics.cpp
@@ -51,21 +51,31 @@
                               const std::string& help) const
 {
     out += "# HELP " + name + ' ' + help + "\n# TYPE " + name + " histogram\n";
+    print_samples(out, name, "");
+}
+
+void latency_histogram::print_samples(std::string& out, const std::string& name,
+                                      const std::string& labels) const
+{
+    const std::string more = labels.empty() ? "" : labels + ',';
+    const std::string alone = labels.empty() ? "" : '{' + labels + '}';
     const auto& axis = state_->cells.axis(0);
     std::uint64_t total = state_->cells.at(-1).value();
     for (int i = 0; i < axis.size(); ++i)
     {
         total += state_->cells.at(i).value();
-        out += name + "_bucket{le=\"" + std::to_string(axis.bin(i).upper()) +
-               "\"} " + std::to_string(total) + '\n';
+        out += name + "_bucket{" + more + "le=\"" +
+               std::to_string(axis.bin(i).upper()) + "\"} " +
+               std::to_string(total) + '\n';
     }
     total += state_->cells.at(axis.size()).value();
     static constexpr double microseconds = 1e6;
     const double sum =
         static_cast<double>(state_->sum_us.load()) / microseconds;
-    out += name + "_bucket{le=\"+Inf\"} " + std::to_string(total) + '\n';
-    out += name + "_sum " + std::to_string(sum) + '\n';
-    out += name + "_count " + std::to_string(total) + '\n';
+    out += name + "_bucket{" + more + "le=\"+Inf\"} " + std::to_string(total) +
+           '\n';
+    out += name + "_sum" + alone + ' ' + std::to_string(sum) + '\n';
+    out += name + "_count" + alone + ' ' + std::to_string(total) + '\n';
 }
 
 } // namespace sycamorelock::adapters
--- a/test/integration/direct_test.cpp
+++ b/test/integration/direct_test.cpp
@@ -43,6 +43,13 @@
     cr_expect_not(run.had_api_key);
     cr_expect_leq(run.time_left_ms, 4000);
 
+    const std::string metrics =
+        fleet.page(fleet.at(0).metrics_address(), "/metrics");
+    for (const char* name : {"first", "pause", "total"})
+        cr_expect_neq(metrics.find(std::string("sycamorelock_") + name +
+                                   "_seconds_count{service=\"planner\"} 1"),
+                      std::string::npos, "%s", name);
+
     direct_call order = fleet.make_call(1, "/order/1?x=y");
     order.chunked = true;
     const direct_answer done = ask(order);
