--- a/packages/daemon/lib/direct_daemon.cpp
+++ b/packages/daemon/lib/direct_daemon.cpp
@@ -1,6 +1,8 @@
 // Two threads: control on the first one, traffic on another.
 #include "direct_daemon.hpp"
 
+#include "settings_file.hpp"
+
 #include "sycamorelock/adapters/clocks.hpp"
 #include "sycamorelock/adapters/direct/control_plane.hpp"
 #include "sycamorelock/adapters/direct/page_server.hpp"
@@ -12,9 +14,8 @@
 #include <boost/asio/signal_set.hpp>
 
 #include <csignal>
-#include <fstream>
+#include <optional>
 #include <random>
-#include <sstream>
 #include <thread>
 
 namespace sycamorelock
@@ -47,8 +48,9 @@
 class direct_instance
 {
   public:
-    direct_instance(const settings::direct_settings& settings, std::string path)
-        : settings_(settings), path_(std::move(path)),
+    direct_instance(const settings::direct_settings& settings, std::string path,
+                    std::string text)
+        : settings_(settings), path_(std::move(path)), text_(std::move(text)),
           log_(settings.name, settings.log_level,
                adapters::log_output::standard_output_queued),
           dialect_(adapters::direct::table_of<platform::dialect>()),
@@ -141,20 +143,27 @@
             {
                 if (error)
                     return;
-                if (which == SIGHUP)
-                    reload();
-                else
+                if (which != SIGHUP)
                     leave();
+                else if (const auto text = read_settings())
+                    reload(*text);
                 wait_for_signal();
             });
     }
 
-    [[nodiscard]] std::string read_file() const
+    /// Nothing if the file cannot be read, which is logged.
+    std::optional<std::string> read_settings()
     {
-        std::ifstream in(path_);
-        std::ostringstream text;
-        text << in.rdbuf();
-        return text.str();
+        try
+        {
+            return read_file(path_);
+        }
+        catch (const std::exception& error)
+        {
+            log_.write(adapters::direct_event::settings_refused,
+                       {{"finding", error.what()}});
+            return std::nullopt;
+        }
     }
 
     void watch_settings()
@@ -165,16 +174,17 @@
             {
                 if (error)
                     return;
-                if (read_file() != text_)
-                    reload();
+                const auto text = read_settings();
+                if (text && *text != text_)
+                    reload(*text);
                 watch_settings();
             });
     }
 
     /// Puts checked settings in force, or keeps the old ones and tells why.
-    void reload()
+    void reload(const std::string& text)
     {
-        text_ = read_file();
+        text_ = text;
         settings::direct_settings next;
         try
         {
@@ -242,10 +252,10 @@
 } // namespace
 
 int run_direct_daemon(const settings::direct_settings& settings,
-                      const std::string& path)
+                      const std::string& path, const std::string& text)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    direct_instance instance(settings, path);
+    direct_instance instance(settings, path, text);
     return instance.run();
 }
 
--- a/packages/daemon/lib/main.cpp
+++ b/packages/daemon/lib/main.cpp
@@ -1,6 +1,7 @@
 // sycamorelockd: one router instance.
 #include "daemon.hpp"
 #include "direct_daemon.hpp"
+#include "settings_file.hpp"
 
 #include "sycamorelock/settings/direct_settings.hpp"
 #include "sycamorelock/settings/documents.hpp"
@@ -8,9 +9,7 @@
 #include <cxxopts.hpp>
 
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace
 {
@@ -22,23 +21,13 @@
 /// Names the settings file if the command line does not.
 constexpr const char* settings_variable = "SYCAMORELOCK_CONFIG";
 
-std::string read_file(const std::string& path)
-{
-    std::ifstream in(path);
-    if (!in)
-        throw std::runtime_error("cannot read " + path);
-    std::ostringstream text;
-    text << in.rdbuf();
-    return text.str();
-}
-
 int run(const std::string& text, const std::string& path)
 {
     using namespace sycamorelock;
     if (settings::is_direct(text))
     {
         const int code =
-            run_direct_daemon(settings::read_direct(text, path), path);
+            run_direct_daemon(settings::read_direct(text, path), path, text);
         // All lines are written by now, or their reader has stopped; flushing
         // the standard streams would then hang the end of the process.
         std::_Exit(code);
@@ -78,7 +67,7 @@
         const auto path = given.count("settings") > 0
                               ? given["settings"].as<std::string>()
                               : std::string(from_environment);
-        return run(read_file(path), path);
+        return run(sycamorelock::read_file(path), path);
     }
     catch (const cxxopts::exceptions::exception& error)
     {
--- a/test/integration/direct_test.cpp
+++ b/test/integration/direct_test.cpp
@@ -361,6 +361,9 @@
     direct_fleet fleet({});
     direct_instance& one = fleet.at(0);
     const std::string good = fleet.settings_of(one);
+    // What was read at the start is not read in again.
+    std::this_thread::sleep_for(milliseconds(2500));
+    cr_assert(fleet.log_of(one).find("settings_reloaded") == std::string::npos);
     fleet.write_settings(one, good + "retry_ratio: 7\nnonsense: 1\n");
     kill(one.pid, SIGHUP);
     cr_expect(eventually(
