What stood twice stands once: metrics text, request reading, copied fields

Prometheus lines were written by four sources and now by prometheus_text; the page of direct routing names its events as the other page does, zeros included. Both kinds of caller session read a request, and leave to send a body, by read_request. The request to an endpoint is copied by copy_end_to_end, which learns of fields that a Connection field cannot take out. The help with a configuration goes by tell. An answer's header is decoded once, not twice; a listing hands the endpoints over once. Out: an accessor, a time and a parameter that nothing used; a share of memory that was always halved says what it is; one loop finds an aggregator.

--- a/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
@@ -32,7 +32,7 @@
     /// Sends this instance's report to the others. Any thread.
     void publish(core::direct::exchange_report report);
 
-    /// Control thread.
+    /// Puts other seeds in force. Control thread.
     void set_seeds(const std::vector<std::string>& seeds)
     {
         peers_.set_seeds(seeds);
@@ -58,7 +58,7 @@
     void exchange_in_tree(core::time_point at,
                           core::direct::exchange_report own);
     void take(core::direct::exchange_report report);
-    void use_rest(core::time_point at, core::direct::exchange_sum rest);
+    void use_rest(core::direct::exchange_sum rest);
     void help_with_config(const std::string& peer);
     void endpoints_changed();
     void note_endpoint(const core::direct::endpoint_record& record);
--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -111,7 +111,7 @@
     {
         write(static_cast<std::uint16_t>(number), fields);
     }
-    /// Counters as Prometheus text.
+    /// Counter of every kind of event, as Prometheus text.
     [[nodiscard]] std::string text() const;
     /// Occurrences by number since start.
     [[nodiscard]] std::map<std::uint16_t, std::uint64_t> counts() const;
--- a/packages/adapters/include/sycamorelock/adapters/metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/metrics.hpp
@@ -22,9 +22,9 @@
     latency_histogram& operator=(const latency_histogram&) = delete;
 
     void record(double seconds);
-    /// Appends Prometheus text.
+    /// Appends Prometheus text; the name goes without the common prefix.
     void print(std::string& out, const std::string& name,
-               const std::string& help) const;
+               const char* help) const;
     /// Appends the samples only, with further labels such as `service="x"`.
     void print_samples(std::string& out, const std::string& name,
                        const std::string& labels) const;
--- a/packages/adapters/lib/caller_session.cpp
+++ b/packages/adapters/lib/caller_session.cpp
@@ -2,6 +2,7 @@
 #include "caller_session.hpp"
 
 #include "request_fields.hpp"
+#include "request_reading.hpp"
 #include "socket_state.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
@@ -168,7 +169,7 @@
             error_code ignored;
             self->stream_.socket().cancel(ignored);
         });
-    const error_code error = co_await read_message(request);
+    const error_code error = co_await read_request(stream_, buffer_, request);
     limit.cancel();
     if (!error)
         co_return true;
@@ -185,28 +186,6 @@
     co_return false;
 }
 
-asio::awaitable<error_code> caller_session::read_message(parser& request)
-{
-    auto [header_error, header_bytes] =
-        co_await http::async_read_header(stream_, buffer_, request, as_result);
-    error_code error = header_error;
-    if (!error &&
-        beast::iequals(request.get()[http::field::expect], "100-continue"))
-    {
-        http::response<http::empty_body> go_on(http::status::continue_, 11);
-        auto [unsent, sent] =
-            co_await http::async_write(stream_, go_on, as_result);
-        error = unsent;
-    }
-    if (!error)
-    {
-        auto [body_error, body_bytes] =
-            co_await http::async_read(stream_, buffer_, request, as_result);
-        error = body_error;
-    }
-    co_return error;
-}
-
 asio::awaitable<void> caller_session::answer_unreadable(error_code error,
                                                         bool timed_out)
 {
--- a/packages/adapters/lib/caller_session.hpp
+++ b/packages/adapters/lib/caller_session.hpp
@@ -36,7 +36,6 @@
 
     asio::awaitable<bool> serve_one();
     asio::awaitable<bool> read(parser& request);
-    asio::awaitable<error_code> read_message(parser& request);
     asio::awaitable<void> answer_unreadable(error_code error, bool timed_out);
     asio::awaitable<bool> handle(caller_request request);
     asio::awaitable<bool> route(caller_request& request);
--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -193,16 +193,8 @@
     sending_ =
         std::make_shared<request_out>(asked.method(), asked.target(), 11);
     const dialect_table& dialect = context_.dialect;
-    http::token_list named(asked[http::field::connection]);
-    for (const auto& field : asked)
-    {
-        const std::string_view name = field.name_string();
-        if (is_hop_field(field.name()) || dialect.set_by_us(name))
-            continue;
-        if (named.exists(name) && !dialect.always_forwarded(name))
-            continue;
-        sending_->insert(field.name(), name, field.value());
-    }
+    copy_end_to_end(asked, *sending_, dialect.set_by_us,
+                    dialect.always_forwarded);
     attempt_meta meta;
     meta.time_left = left_until(request_.profile.deadline);
     meta.endpoint_boot = placed_.endpoint.boot;
@@ -221,7 +213,7 @@
                           error_code error, std::size_t) { *done = !error; });
 }
 
-asio::awaitable<bool> attempt::read_header()
+asio::awaitable<std::optional<answer_meta>> attempt::read_header()
 {
     for (;;)
     {
@@ -233,7 +225,7 @@
         auto [error, bytes] = co_await http::async_read_header(
             channel_->socket, channel_->buffer, *parser_, as_result);
         if (error)
-            co_return false;
+            co_return std::nullopt;
         const auto& header = parser_->get();
         if (http::to_status_class(header.result()) ==
             http::status_class::informational)
@@ -243,14 +235,14 @@
         const bool other = !meta.attempt_id.empty() &&
                            meta.attempt_id != request_.meta.attempt_id;
         if (!other)
-            co_return true;
+            co_return meta;
         // A late answer to an earlier request on this connection.
         context_.log.write(direct_event::foreign_answer,
                            {{"request", request_.meta.attempt_id},
                             {"answers", std::string(meta.attempt_id)},
                             {"endpoint", placed_.endpoint.boot}});
         if (!co_await skip_answer())
-            co_return false;
+            co_return std::nullopt;
     }
 }
 
@@ -289,17 +281,17 @@
     const milliseconds silence = scaled(way.objective, silence_factor);
     if (request_.may_repeat)
         expect_within(silence);
-    if (!co_await read_header())
+    const std::optional<answer_meta> meta = co_await read_header();
+    if (!meta)
         co_return stopped("no_answer");
     const auto& header = parser_->get();
     status_ = header.result_int();
-    const answer_meta meta = context_.dialect.read_answer(header, status_);
-    if (meta.wrong_endpoint)
+    if (meta->wrong_endpoint)
     {
         why_ = "wrong_endpoint";
         co_return attempt_end::wrong_endpoint;
     }
-    if (meta.not_run)
+    if (meta->not_run)
     {
         why_ = "declined";
         co_return attempt_end::not_run;
@@ -339,8 +331,7 @@
     if (!out_.begun())
     {
         http::fields header;
-        copy_end_to_end(parser_->get(), header,
-                        [](std::string_view) { return false; });
+        copy_end_to_end(parser_->get(), header);
         out_.begin(header, parser_->get().result());
     }
     events_.drop_rest();
@@ -377,7 +368,7 @@
 asio::awaitable<attempt_end> attempt::collect()
 {
     const auto& from = parser_->get();
-    copy_end_to_end(from, held_.header, [](std::string_view) { return false; });
+    copy_end_to_end(from, held_.header);
     held_.status = from.result();
     held_.has_body = request_.message.method() != http::verb::head &&
                      from.result() != http::status::no_content &&
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -87,7 +87,9 @@
 
     asio::awaitable<bool> connect();
     void send();
-    asio::awaitable<bool> read_header();
+    /// Header of the answer to this request, which the parser then holds;
+    /// nothing if there is none.
+    asio::awaitable<std::optional<answer_meta>> read_header();
     asio::awaitable<bool> skip_answer();
     asio::awaitable<error_code> read_piece();
     asio::awaitable<attempt_end> read_answer();
--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -2,6 +2,7 @@
 #include "sycamorelock/adapters/direct/control_plane.hpp"
 
 #include "../nng_link.hpp"
+#include "../prometheus_text.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
 #include "sycamorelock/wire/exchange_codec.hpp"
@@ -140,8 +141,9 @@
 
 void control_plane::on_list(const std::vector<endpoint_record>& all)
 {
-    registry_.replace(now(), all);
-    check_registry();
+    const core::time_point at = now();
+    registry_.replace(at, all);
+    registry_.expire(at);
     endpoints_changed();
 }
 
@@ -243,7 +245,7 @@
     other.demands.clear();
     tell(at, other, peers_.gossip_targets(at));
     if (aggregator.empty())
-        use_rest(at, tree_.rest_for(at, ""));
+        use_rest(tree_.rest_for(at, ""));
     if (!tree_.aggregates(at))
         return;
     core::direct::exchange_sum sum = tree_.domain_sum(at);
@@ -262,7 +264,7 @@
     }
 }
 
-void control_plane::use_rest(core::time_point, core::direct::exchange_sum rest)
+void control_plane::use_rest(core::direct::exchange_sum rest)
 {
     exchange_report all;
     all.sender = rest_sender;
@@ -289,7 +291,7 @@
                         {std::move(report.work), std::move(report.demands)});
         break;
     case report_part::rest:
-        use_rest(at, {std::move(report.work), std::move(report.demands)});
+        use_rest({std::move(report.work), std::move(report.demands)});
         break;
     case report_part::none:
         break;
@@ -330,13 +332,12 @@
     if (draw(random_) > 0)
         return;
     exchange_report copy;
-    peers_.fill_report(at, copy);
+    copy.part = core::direct::report_part::none;
     copy.config_version = version_;
     copy.config = core::direct::config_copy{version_, config_text_};
     log_.write(direct_event::config_passed_on,
                {{"peer", peer}, {"version", std::to_string(version_)}});
-    copy.part = core::direct::report_part::none;
-    links_->send(peer, wire::encode_report(copy, settings_.fleet_key), at);
+    tell(at, copy, {peer});
 }
 
 bool control_plane::ready() const
@@ -361,20 +362,15 @@
 
 std::string control_plane::status() const
 {
-    return "# HELP sycamorelock_config_version Version in force.\n"
-           "# TYPE sycamorelock_config_version gauge\n"
-           "sycamorelock_config_version " +
-           std::to_string(version_) +
-           "\n# HELP sycamorelock_endpoints Endpoints known.\n"
-           "# TYPE sycamorelock_endpoints gauge\nsycamorelock_endpoints " +
-           std::to_string(registry_.all().size()) +
-           "\n# HELP sycamorelock_peers_live Other instances heard lately.\n"
-           "# TYPE sycamorelock_peers_live gauge\nsycamorelock_peers_live " +
-           std::to_string(live_) +
-           "\n# HELP sycamorelock_store_calls_total Calls to the store.\n"
-           "# TYPE sycamorelock_store_calls_total counter\n"
-           "sycamorelock_store_calls_total " +
-           std::to_string(store_.calls()) + '\n';
+    std::string out;
+    single(out, "config_version", "gauge", "Version in force.", version_);
+    single(out, "endpoints", "gauge", "Endpoints known.",
+           std::uint64_t{registry_.all().size()});
+    single(out, "peers_live", "gauge", "Other instances heard lately.",
+           std::uint64_t{live_});
+    single(out, "store_calls_total", "counter", "Calls to the store.",
+           store_.calls());
+    return out;
 }
 
 } // namespace sycamorelock::adapters::direct
--- a/packages/adapters/lib/direct/traffic_metrics.cpp
+++ b/packages/adapters/lib/direct/traffic_metrics.cpp
@@ -1,34 +1,21 @@
 // Prometheus text of directly routed requests.
 #include "sycamorelock/adapters/direct/traffic_metrics.hpp"
 
+#include "../prometheus_text.hpp"
+
 namespace sycamorelock::adapters::direct
 {
 
 namespace
 {
 
-void family(std::string& out, const std::string& name, const char* type,
-            const char* help)
-{
-    out += "# HELP sycamorelock_" + name + ' ' + help +
-           "\n# TYPE sycamorelock_" + name + ' ' + type + '\n';
-}
-
-void single(std::string& out, const std::string& name, const char* type,
-            const char* help, std::uint64_t value)
-{
-    family(out, name, type, help);
-    out += "sycamorelock_" + name + ' ' + std::to_string(value) + '\n';
-}
-
-void labelled(std::string& out, const std::string& name, const char* label,
+void labelled(std::string& out, const std::string& name, const char* by,
               const char* help,
               const std::map<std::string, std::uint64_t>& values)
 {
     family(out, name, "counter", help);
     for (const auto& [key, value] : values)
-        out += "sycamorelock_" + name + '{' + label + "=\"" + key + "\"} " +
-               std::to_string(value) + '\n';
+        sample(out, name, label(by, key), value);
 }
 
 } // namespace
@@ -39,9 +26,7 @@
 {
     family(out, name, "histogram", help);
     for (const auto& [service, of] : latency)
-        ((*of).*which)
-            .print_samples(out, "sycamorelock_" + name,
-                           "service=\"" + service + '"');
+        ((*of).*which).print_samples(out, name, label("service", service));
 }
 
 std::string direct_metrics::text() const
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -3,6 +3,8 @@
 
 #include "request_session.hpp"
 
+#include "../prometheus_text.hpp"
+
 #include "sycamorelock/adapters/clocks.hpp"
 
 #include <boost/asio/post.hpp>
@@ -70,13 +72,11 @@
 
     [[nodiscard]] std::string describe() const
     {
-        return metrics_.text() +
-               "# HELP sycamorelock_requests_open_elsewhere Requests that "
-               "other instances have open, as they last told.\n"
-               "# TYPE sycamorelock_requests_open_elsewhere gauge\n"
-               "sycamorelock_requests_open_elsewhere " +
-               std::to_string(router_.ledger().open_elsewhere()) + '\n' +
-               context_.log.text();
+        std::string out = metrics_.text();
+        single(out, "requests_open_elsewhere", "gauge",
+               "Requests that other instances have open, as they last told.",
+               std::uint64_t{router_.ledger().open_elsewhere()});
+        return out + context_.log.text();
     }
 
     void on_report(const core::direct::exchange_report& report)
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -1,6 +1,8 @@
 // Log lines through log4cplus. The only source that includes its headers.
 #include "sycamorelock/adapters/event_log.hpp"
 
+#include "prometheus_text.hpp"
+
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <log4cplus/consoleappender.h>
@@ -374,11 +376,18 @@
 
 std::string event_log::text() const
 {
-    std::string out = "# HELP sycamorelock_events_total Events by number.\n"
-                      "# TYPE sycamorelock_events_total counter\n";
-    for (const auto& [number, count] : counts())
-        out += "sycamorelock_events_total{number=\"" + std::to_string(number) +
-               "\"} " + std::to_string(count) + '\n';
+    std::string out;
+    family(out, "events_total", "counter",
+           "Numbered events; see docs/EVENTS.md.");
+    const auto seen = counts();
+    for (const event_kind& kind : event_catalogue())
+    {
+        const auto found = seen.find(kind.number);
+        sample(out, "events_total",
+               label("number", std::to_string(kind.number)) + ',' +
+                   label("name", std::string(kind.name)),
+               found == seen.end() ? std::uint64_t{0} : found->second);
+    }
     return out;
 }
 
--- a/packages/adapters/lib/header_copy.hpp
+++ b/packages/adapters/lib/header_copy.hpp
@@ -28,17 +28,27 @@
     }
 }
 
-/// Copies all fields but those of the connection, those that the Connection
-/// field names and those that `left_out` accepts.
-template <class From, class To, class LeftOut>
-void copy_end_to_end(const From& from, To& to, const LeftOut& left_out)
+/// Accepts no field.
+inline bool no_field(beast::string_view)
+{
+    return false;
+}
+
+/// Copies all fields but those of the connection, those that `left_out`
+/// accepts and those that the Connection field names; `kept` accepts fields
+/// that a sender cannot take out by naming them there.
+template <class From, class To, class LeftOut = decltype(no_field),
+          class Kept = decltype(no_field)>
+void copy_end_to_end(const From& from, To& to,
+                     const LeftOut& left_out = no_field,
+                     const Kept& kept = no_field)
 {
     http::token_list named(from[http::field::connection]);
     for (const auto& item : from)
     {
         if (is_hop_field(item.name()) || left_out(item.name_string()))
             continue;
-        if (named.exists(item.name_string()))
+        if (named.exists(item.name_string()) && !kept(item.name_string()))
             continue;
         to.insert(item.name_string(), item.value());
     }
--- a/packages/adapters/lib/metrics.cpp
+++ b/packages/adapters/lib/metrics.cpp
@@ -1,6 +1,8 @@
 // Distributions on Boost.Histogram with atomic cells.
 #include "sycamorelock/adapters/metrics.hpp"
 
+#include "prometheus_text.hpp"
+
 #include <boost/histogram/accumulators/count.hpp>
 #include <boost/histogram/axis/regular.hpp>
 #include <boost/histogram/make_histogram.hpp>
@@ -48,9 +50,9 @@
 }
 
 void latency_histogram::print(std::string& out, const std::string& name,
-                              const std::string& help) const
+                              const char* help) const
 {
-    out += "# HELP " + name + ' ' + help + "\n# TYPE " + name + " histogram\n";
+    family(out, name, "histogram", help);
     print_samples(out, name, "");
 }
 
@@ -58,24 +60,21 @@
                                       const std::string& labels) const
 {
     const std::string more = labels.empty() ? "" : labels + ',';
-    const std::string alone = labels.empty() ? "" : '{' + labels + '}';
+    const auto bucket = [&](const std::string& upper, std::uint64_t count)
+    { sample(out, name + "_bucket", more + label("le", upper), count); };
     const auto& axis = state_->cells.axis(0);
     std::uint64_t total = state_->cells.at(-1).value();
     for (int i = 0; i < axis.size(); ++i)
     {
         total += state_->cells.at(i).value();
-        out += name + "_bucket{" + more + "le=\"" +
-               std::to_string(axis.bin(i).upper()) + "\"} " +
-               std::to_string(total) + '\n';
+        bucket(std::to_string(axis.bin(i).upper()), total);
     }
     total += state_->cells.at(axis.size()).value();
+    bucket("+Inf", total);
     static constexpr double microseconds = 1e6;
-    const double sum =
-        static_cast<double>(state_->sum_us.load()) / microseconds;
-    out += name + "_bucket{" + more + "le=\"+Inf\"} " + std::to_string(total) +
-           '\n';
-    out += name + "_sum" + alone + ' ' + std::to_string(sum) + '\n';
-    out += name + "_count" + alone + ' ' + std::to_string(total) + '\n';
+    sample(out, name + "_sum", labels,
+           static_cast<double>(state_->sum_us.load()) / microseconds);
+    sample(out, name + "_count", labels, total);
 }
 
 } // namespace sycamorelock::adapters
--- a/packages/adapters/lib/report.cpp
+++ b/packages/adapters/lib/report.cpp
@@ -1,6 +1,8 @@
 // Metrics, status and explanations as text.
 #include "sycamorelock/adapters/report.hpp"
 
+#include "prometheus_text.hpp"
+
 #include "sycamorelock/adapters/clocks.hpp"
 
 #include <boost/json/array.hpp>
@@ -15,29 +17,6 @@
 
 namespace json = boost::json;
 
-void family(std::string& out, const std::string& name, const char* type,
-            const char* help)
-{
-    out += "# HELP sycamorelock_" + name + ' ' + help +
-           "\n# TYPE sycamorelock_" + name + ' ' + type + '\n';
-}
-
-void sample(std::string& out, const std::string& name,
-            const std::string& labels, double value)
-{
-    out += "sycamorelock_" + name;
-    if (!labels.empty())
-        out += '{' + labels + '}';
-    out += ' ' + json::serialize(json::value(value)) + '\n';
-}
-
-void single(std::string& out, const std::string& name, const char* type,
-            const char* help, double value)
-{
-    family(out, name, type, help);
-    sample(out, name, "", value);
-}
-
 double number(std::uint64_t value)
 {
     return static_cast<double>(value);
@@ -102,12 +81,12 @@
     family(out, "shard_used_slots", "gauge", "Slots in use of a shard.");
     for (const core::shard_scheduler* shard : state.schedulers())
         sample(out, "shard_used_slots", shard_labels(state, shard->id()),
-               shard->used_slots());
+               number(shard->used_slots()));
     family(out, "shard_usable_slots", "gauge",
            "Slots that the shard's limits allow.");
     for (const core::shard_scheduler* shard : state.schedulers())
         sample(out, "shard_usable_slots", shard_labels(state, shard->id()),
-               shard->usable_slots());
+               number(shard->usable_slots()));
 }
 
 void process_metrics(std::string& out, const control_plane& control)
@@ -122,7 +101,7 @@
     single(out, "claims", "gauge", "Idempotency keys remembered.",
            number(state.claims()));
     single(out, "ready", "gauge", "1 if callers are served.",
-           control.ready() && !control.leaving() ? 1 : 0);
+           number(control.ready() && !control.leaving() ? 1 : 0));
     single(out, "peer_sent_bytes_total", "counter",
            "Bytes to other instances, framing included.",
            number(peers.sent_bytes));
@@ -175,24 +154,14 @@
     request_metrics(out, control.state());
     shard_metrics(out, control.state());
     process_metrics(out, control);
-    family(out, "events_total", "counter",
-           "Numbered events; see docs/EVENTS.md.");
-    const auto counts = control.log().counts();
-    for (const event_kind& kind : event_catalogue())
-    {
-        const auto found = counts.find(kind.number);
-        sample(out, "events_total",
-               "number=\"" + std::to_string(kind.number) + "\",name=\"" +
-                   std::string(kind.name) + '"',
-               found == counts.end() ? 0 : number(found->second));
-    }
+    out += control.log().text();
     const traffic_metrics& traffic = control.traffic();
-    traffic.queue_wait.print(out, "sycamorelock_queue_wait_seconds",
+    traffic.queue_wait.print(out, "queue_wait_seconds",
                              "Time from acceptance to the first grant.");
     traffic.first_byte.print(
-        out, "sycamorelock_first_byte_seconds",
+        out, "first_byte_seconds",
         "Time from acceptance to the first byte of the answer's body.");
-    traffic.relay_delay.print(out, "sycamorelock_relay_delay_seconds",
+    traffic.relay_delay.print(out, "relay_delay_seconds",
                               "Time a piece of an answer spends here.");
     return out;
 }
--- a/packages/core/include/sycamorelock/core/direct/peers.hpp
+++ b/packages/core/include/sycamorelock/core/direct/peers.hpp
@@ -83,7 +83,6 @@
         std::uint64_t acknowledged = 0;
         time_point acknowledged_at;
         time_point heard_at;
-        time_point heard_directly_at;
         time_point known_since;
         bool live = false;
         bool leaving = false;
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -151,7 +151,6 @@
     }
 
     [[nodiscard]] const load_ledger& ledger() const { return ledger_; }
-    [[nodiscard]] double slowness(time_point now, endpoint_id endpoint) const;
 
   private:
     struct endpoint_state
--- a/packages/core/lib/direct/peers.cpp
+++ b/packages/core/lib/direct/peers.cpp
@@ -42,7 +42,7 @@
     from.number = std::max(from.number, report.number);
     from.domain = report.domain;
     from.leaving = report.leaving;
-    from.heard_at = from.heard_directly_at = now;
+    from.heard_at = now;
     from.live = true;
     for (const peer_sight& seen : report.peers)
     {
@@ -148,19 +148,12 @@
     // The lowest address of those that live and stay. All agree on it but for
     // about a second after a change, and what is summed twice or not at all
     // meanwhile is forgotten as fast.
-    if (domain == domain_)
-    {
-        for (const auto& [address, known] : peers_)
-        {
-            if (known.domain == domain && is_live(now, known) && !known.leaving)
-                return address < self_ ? address : std::string();
-        }
-        return {};
-    }
     for (const auto& [address, known] : peers_)
     {
-        if (known.domain == domain && is_live(now, known) && !known.leaving)
-            return address;
+        if (known.domain != domain || !is_live(now, known) || known.leaving)
+            continue;
+        const bool own = domain == domain_ && self_ < address;
+        return own ? std::string() : address;
     }
     return {};
 }
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -32,9 +32,8 @@
 constexpr double domain_price_ms = 3;
 /// Largest term that settles ties, in ms: all instances agree on the order.
 constexpr double tie_ms = 15;
-/// Part of an engine's memory that is left for kept prompts. The rest holds
-/// what runs.
-constexpr double cache_share = 0.6;
+/// Part of an engine's memory that keeps prompts however much runs.
+constexpr double least_cache_share = 0.3;
 /// Longest wait for earlier prompts, as a share of the tightest objective of
 /// the service: for accounts within what operators owe them, and for those
 /// beyond it that have at most their fair part of what the engines reach. The
@@ -215,7 +214,7 @@
 {
     const double running = ledger_.total(engine).tokens;
     return std::max(kind.memory_tokens - running,
-                    kind.memory_tokens * cache_share / 2);
+                    kind.memory_tokens * least_cache_share);
 }
 
 double router::cached_at(endpoint_id engine, const request_profile& asked) const
@@ -412,12 +411,6 @@
     }
 }
 
-double router::slowness(time_point now, endpoint_id endpoint) const
-{
-    const auto found = endpoints_.find(endpoint);
-    return found == endpoints_.end() ? 1 : found->second.health.slowness(now);
-}
-
 void router::on_report(time_point now, const exchange_report& report)
 {
     const instance_id from = instance_id::of(report.sender);
--- a/test/standins/direct_fleet.cpp
+++ b/test/standins/direct_fleet.cpp
@@ -32,14 +32,6 @@
     return R"({"name":")" + name + R"(","api_keys":["key-)" + name + R"("]})";
 }
 
-std::string text_of(const std::string& file)
-{
-    std::ifstream in(file);
-    std::ostringstream text;
-    text << in.rdbuf();
-    return text.str();
-}
-
 std::string message_of(const direct_call& what)
 {
     std::string text = what.method + ' ' + what.path +
--- a/test/standins/fleet.cpp
+++ b/test/standins/fleet.cpp
@@ -41,14 +41,6 @@
         body = got.body();
 }
 
-std::string text_of(const std::string& file)
-{
-    std::ifstream in(file);
-    std::ostringstream text;
-    text << in.rdbuf();
-    return text.str();
-}
-
 } // namespace
 
 std::string make_key(std::chrono::milliseconds age)
--- a/test/standins/process.cpp
+++ b/test/standins/process.cpp
@@ -8,6 +8,8 @@
 
 #include <array>
 #include <atomic>
+#include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <thread>
 
@@ -71,6 +73,14 @@
     return process;
 }
 
+std::string text_of(const std::string& file)
+{
+    std::ifstream in(file);
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
 bool wait_for_exit(pid_t process, std::chrono::seconds limit, int* status)
 {
     int result = 0;
--- a/test/standins/process.hpp
+++ b/test/standins/process.hpp
@@ -18,6 +18,9 @@
 /// Waits for the end of a process; false if it takes too long.
 bool wait_for_exit(pid_t process, std::chrono::seconds limit, int* status);
 
+/// Text of a file; empty if there is none.
+std::string text_of(const std::string& file);
+
 /// Repeats a check until it holds; false after the limit.
 bool eventually(const std::function<bool()>& holds,
                 std::chrono::milliseconds limit);
