--- /dev/null
+++ b/packages/adapters/lib/direct/open_request.hpp
@@ -0,0 +1,46 @@
+// A caller's request while it is served.
+#pragma once
+
+#include "attempt.hpp"
+
+#include "sycamorelock/core/direct/router.hpp"
+
+#include <memory>
+#include <set>
+
+namespace sycamorelock::adapters::direct
+{
+
+struct open_request
+{
+    caller_message message;
+    request_meta meta;
+    core::direct::request_profile profile;
+    std::shared_ptr<const core::direct::catalogue> config;
+    core::service_id service;
+    std::string service_name;
+    std::string account_name;
+    std::set<core::endpoint_id> tried;
+    unsigned attempts = 0;
+    /// When the first event, or a whole answer, came; zero if none did.
+    core::time_point first;
+    core::duration longest_pause{0};
+    /// An endpoint may have begun to run it.
+    bool may_have_run = false;
+    event_splitter events;
+
+    /// Host field without a port.
+    [[nodiscard]] std::string_view host() const
+    {
+        const std::string_view text = message[http::field::host];
+        return text.substr(0, text.rfind(':'));
+    }
+    /// Target without its query.
+    [[nodiscard]] std::string_view path() const
+    {
+        const std::string_view text = message.target();
+        return text.substr(0, text.find('?'));
+    }
+};
+
+} // namespace sycamorelock::adapters::direct
--- /dev/null
+++ b/packages/adapters/lib/direct/request_log.cpp
@@ -0,0 +1,116 @@
+// One line for each decision.
+#include "request_log.hpp"
+
+#include "sycamorelock/adapters/clocks.hpp"
+
+namespace sycamorelock::adapters::direct
+{
+
+namespace
+{
+
+std::string ms_text(double value)
+{
+    return std::to_string(static_cast<std::int64_t>(value));
+}
+
+std::string ms_text(core::duration value)
+{
+    return std::to_string(
+        std::chrono::duration_cast<milliseconds>(value).count());
+}
+
+std::string first_text(const open_request& request)
+{
+    if (request.first == core::time_point())
+        return "none";
+    return ms_text(request.first - request.profile.arrived);
+}
+
+} // namespace
+
+void request_log::rejected(const open_request& request, http::status status,
+                           std::string_view reason)
+{
+    const std::uint64_t version = request.config ? request.config->version : 0;
+    context_.log.write(
+        direct_event::request_rejected,
+        {{"request", request.meta.attempt_id},
+         {"status", std::to_string(static_cast<unsigned>(status))},
+         {"reason", std::string(reason)},
+         {"host", std::string(request.message[http::field::host])},
+         {"path", std::string(request.path())},
+         {"config", std::to_string(version)}});
+}
+
+void request_log::refused(const open_request& request,
+                          const core::direct::refusal_decision& decided)
+{
+    context_.log.write(
+        direct_event::request_refused,
+        {{"request", request.meta.attempt_id},
+         {"route", request.profile.way->name},
+         {"account", request.account_name},
+         {"reason", std::string(to_string(decided.reason))},
+         {"wait_ms", ms_text(decided.wait_ms)},
+         {"retry_after_ms", std::to_string(decided.retry_after.count())},
+         {"config", std::to_string(request.config->version)}});
+}
+
+void request_log::placed(const open_request& request,
+                         const core::direct::placement_decision& decided)
+{
+    context_.log.write(
+        direct_event::request_placed,
+        {{"request", request.meta.attempt_id},
+         {"route", request.profile.way->name},
+         {"account", request.account_name},
+         {"endpoint", decided.endpoint.boot},
+         {"attempt", std::to_string(request.attempts)},
+         {"predicted_ms", ms_text(decided.predicted_ms)},
+         {"wait_ms", ms_text(decided.wait_ms)},
+         {"prompt_tokens", ms_text(request.profile.prompt_tokens)},
+         {"cached_tokens", ms_text(decided.cached_tokens)},
+         {"config", std::to_string(request.config->version)}});
+}
+
+void request_log::repeated(const open_request& request, std::string_view boot,
+                           attempt_end end, std::string_view why)
+{
+    const std::string how(to_string(end));
+    ++context_.metrics.retried[how];
+    context_.log.write(
+        direct_event::attempt_repeated,
+        {{"request", request.meta.attempt_id},
+         {"endpoint", std::string(boot)},
+         {"end", how},
+         {"why", std::string(why)},
+         {"after_ms", ms_text(now() - request.profile.arrived)}});
+}
+
+void request_log::ended(const open_request& request, std::string_view outcome,
+                        unsigned status)
+{
+    ++context_.metrics.ended[std::string(outcome)];
+    const core::duration total = now() - request.profile.arrived;
+    const auto seconds = [](core::duration value)
+    { return std::chrono::duration<double>(value).count(); };
+    service_latency& of = context_.metrics.of(request.service_name);
+    of.total.record(seconds(total));
+    if (request.first != core::time_point())
+        of.first.record(seconds(request.first - request.profile.arrived));
+    if (request.longest_pause > core::duration(0))
+        of.pause.record(seconds(request.longest_pause));
+    context_.log.write(
+        direct_event::request_ended,
+        {{"request", request.meta.attempt_id},
+         {"outcome", std::string(outcome)},
+         {"status", std::to_string(status)},
+         {"attempts", std::to_string(request.attempts)},
+         {"events", std::to_string(request.events.count())},
+         {"first_ms", first_text(request)},
+         {"pause_ms", ms_text(request.longest_pause)},
+         {"total_ms", ms_text(total)}});
+}
+
+} // namespace sycamorelock::adapters::direct
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -1,12 +1,11 @@
 // The way of a request through this instance.
 #include "request_session.hpp"
 
+#include "../request_reading.hpp"
 #include "../socket_state.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
 
-#include <boost/asio/write.hpp>
-
 namespace sycamorelock::adapters::direct
 {
 
@@ -15,11 +14,14 @@
 
 using core::direct::refusal_decision;
 
+constexpr unsigned first_server_error = 500;
 constexpr std::size_t read_size = 16 * 1024;
 /// Limits on callers while no configuration is in force.
 const core::direct::caller_limits first_limits;
 /// When a caller may come back if nothing better is known.
 constexpr milliseconds soon{500};
+/// No caller is asked to come back sooner: it would find the same queue.
+constexpr milliseconds least_pause{50};
 /// Time that a caller has to take in why its request could not be read.
 constexpr milliseconds linger_time{1000};
 
@@ -33,25 +35,11 @@
     return std::to_string(count / per_second) + '.' + fraction;
 }
 
-std::string ms_text(double value)
-{
-    return std::to_string(static_cast<std::int64_t>(value));
-}
-
-std::string ms_text(core::duration value)
+/// Whether an attempt that ended so may have begun to run the request.
+bool may_have_run(attempt_end end)
 {
-    return std::to_string(
-        std::chrono::duration_cast<milliseconds>(value).count());
-}
-
-std::string_view without_port(std::string_view host)
-{
-    return host.substr(0, host.rfind(':'));
-}
-
-std::string_view path_of(std::string_view target)
-{
-    return target.substr(0, target.find('?'));
+    return end != attempt_end::unreachable && end != attempt_end::not_run &&
+           end != attempt_end::wrong_endpoint;
 }
 
 } // namespace
@@ -59,7 +47,7 @@
 request_session::request_session(tcp::socket socket, traffic_context& context,
                                  std::function<void(request_session*)> ended)
     : socket_(std::move(socket)), context_(context), ended_(std::move(ended)),
-      out_(socket_)
+      out_(socket_), log_(context)
 {
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
@@ -118,7 +106,7 @@
                             error_code ignored;
                             socket_.cancel(ignored);
                         });
-    const error_code error = co_await read(request);
+    const error_code error = co_await read_request(socket_, buffer_, request);
     limit_.lift();
     if (error)
     {
@@ -133,26 +121,6 @@
     co_return keep_ && !context_.leaving && socket_.is_open();
 }
 
-asio::awaitable<error_code> request_session::read(parser& request)
-{
-    auto [header_error, header_bytes] =
-        co_await http::async_read_header(socket_, buffer_, request, as_result);
-    if (header_error)
-        co_return header_error;
-    if (beast::iequals(request.get()[http::field::expect], "100-continue"))
-    {
-        static constexpr std::string_view go_on =
-            "HTTP/1.1 100 Continue\r\n\r\n";
-        auto [unsent, sent] =
-            co_await asio::async_write(socket_, asio::buffer(go_on), as_result);
-        if (unsent)
-            co_return unsent;
-    }
-    auto [body_error, body_bytes] =
-        co_await http::async_read(socket_, buffer_, request, as_result);
-    co_return body_error;
-}
-
 asio::awaitable<void> request_session::answer_unreadable(error_code error)
 {
     if (timed_out_)
@@ -271,8 +239,7 @@
     }
     const core::direct::catalogue& config = *request.config;
     const core::direct::route* way =
-        config.find_route(without_port(request.message[http::field::host]),
-                          path_of(request.message.target()));
+        config.find_route(request.host(), request.path());
     if (way == nullptr)
     {
         co_await reject(request, http::status::not_found, "no_route",
@@ -293,7 +260,7 @@
     }
     core::direct::request_profile& profile = request.profile;
     profile.way = way;
-    profile.parts = request.meta.parts;
+    profile.parts = std::move(request.meta.parts);
     profile.prompt_tokens = request.meta.prompt_tokens;
     profile.output_tokens = request.meta.output_tokens;
     profile.deadline =
@@ -312,15 +279,7 @@
                                               std::string_view reason,
                                               milliseconds retry_after)
 {
-    const std::uint64_t version = request.config ? request.config->version : 0;
-    context_.log.write(
-        direct_event::request_rejected,
-        {{"request", request.meta.attempt_id},
-         {"status", std::to_string(static_cast<unsigned>(status))},
-         {"reason", std::string(reason)},
-         {"host", std::string(request.message[http::field::host])},
-         {"path", std::string(path_of(request.message.target()))},
-         {"config", std::to_string(version)}});
+    log_.rejected(request, status, reason);
     co_await answer_problem(status, reason, retry_after);
 }
 
@@ -333,70 +292,67 @@
         co_await answer_refusal(request, *refused);
         co_return;
     }
-    auto placed = std::get<core::direct::placement_decision>(decided);
+    std::optional<core::direct::placement_decision> placed =
+        std::get<core::direct::placement_decision>(decided);
+    while (placed)
+        placed = co_await try_at(request, *placed);
+}
+
+asio::awaitable<std::optional<core::direct::placement_decision>>
+request_session::try_at(open_request& request,
+                        core::direct::placement_decision placed)
+{
     const core::direct::route& way = *request.profile.way;
-    for (;;)
+    ++request.attempts;
+    request.tried.insert(placed.hold.endpoint);
+    log_.placed(request, placed);
+    const bool more = request.attempts < way.max_attempts;
+    attempt tried(context_,
+                  {request.message, request.meta, request.profile,
+                   request.account_name, more && way.repeatable()},
+                  placed, out_, request.events);
+    attempt_ = &tried;
+    const attempt_end end = co_await tried.run();
+    attempt_ = nullptr;
+    if (request.first == core::time_point())
+        request.first = tried.first_at();
+    request.longest_pause =
+        std::max(request.longest_pause, tried.longest_pause());
+    if (co_await finish(request, tried, end))
+        co_return std::nullopt;
+    request.may_have_run = request.may_have_run || may_have_run(end);
+    if (end == attempt_end::unreachable)
+        --request.attempts;
+    auto next = stop_ == stop::none ? place_again(request, end) : std::nullopt;
+    if (next)
+        log_.repeated(request, placed.endpoint.boot, end, tried.why());
+    else if (end == attempt_end::held)
+        co_await deliver(request, std::move(tried.held()), "server_error");
+    else
+        co_await answer_failure(request, end);
+    co_return next;
+}
+
+asio::awaitable<bool> request_session::finish(open_request& request,
+                                              attempt& tried, attempt_end end)
+{
+    const bool left = stop_ == stop::caller_left ||
+                      (end == attempt_end::abandoned && stop_ == stop::none);
+    if (left)
     {
-        ++request.attempts;
-        request.tried.insert(placed.hold.endpoint);
-        log_placed(request, placed);
-        const bool more = request.attempts < way.max_attempts;
-        attempt tried(context_,
-                      {request.message, request.meta, request.profile,
-                       request.account_name, more && way.repeatable()},
-                      placed, out_, request.events);
-        attempt_ = &tried;
-        const attempt_end end = co_await tried.run();
-        attempt_ = nullptr;
-        if (request.first == core::time_point())
-            request.first = tried.first_at();
-        request.longest_pause =
-            std::max(request.longest_pause, tried.longest_pause());
-        if (stop_ == stop::caller_left ||
-            (end == attempt_end::abandoned && stop_ == stop::none))
-        {
-            keep_ = false;
-            log_end(request, "caller_left", 0);
-            co_return;
-        }
-        if (end == attempt_end::complete)
-        {
-            log_end(request, "complete", tried.status());
-            co_return;
-        }
-        const bool good = end == attempt_end::held && tried.status() < 500;
-        if (good)
-        {
-            co_await deliver(request, std::move(tried.held()), "complete");
-            co_return;
-        }
-        const bool ran = end != attempt_end::unreachable &&
-                         end != attempt_end::not_run &&
-                         end != attempt_end::wrong_endpoint;
-        request.may_have_run = request.may_have_run || ran;
-        if (end == attempt_end::unreachable)
-            --request.attempts;
-        const auto next =
-            stop_ == stop::none ? place_again(request, end) : std::nullopt;
-        if (next)
-        {
-            ++context_.metrics.retried[std::string(to_string(end))];
-            context_.log.write(
-                direct_event::attempt_repeated,
-                {{"request", request.meta.attempt_id},
-                 {"endpoint", placed.endpoint.boot},
-                 {"end", std::string(to_string(end))},
-                 {"why", std::string(tried.why())},
-                 {"after_ms", ms_text(now() - request.profile.arrived)}});
-            placed = *next;
-            continue;
-        }
-        if (end == attempt_end::held)
-            co_await deliver(request, std::move(tried.held()), "server_error");
-        else
-            co_await answer_failure(request, end);
-        co_return;
+        keep_ = false;
+        log_.ended(request, "caller_left", 0);
+        co_return true;
     }
+    if (end == attempt_end::complete)
+    {
+        log_.ended(request, "complete", tried.status());
+        co_return true;
+    }
+    if (end != attempt_end::held || tried.status() >= first_server_error)
+        co_return false;
+    co_await deliver(request, std::move(tried.held()), "complete");
+    co_return true;
 }
 
 std::optional<core::direct::placement_decision>
@@ -435,7 +391,7 @@
         answer.header, answer.status, answer.body, answer.has_body);
     if (error)
         keep_ = false;
-    log_end(request, outcome, static_cast<unsigned>(answer.status));
+    log_.ended(request, outcome, static_cast<unsigned>(answer.status));
 }
 
 asio::awaitable<void> request_session::answer_failure(open_request& request,
@@ -444,7 +400,7 @@
     if (out_.begun())
     {
         cut();
-        log_end(request, "cut", 0);
+        log_.ended(request, "cut", 0);
         co_return;
     }
     if (stop_ == stop::time_over)
@@ -452,37 +408,29 @@
         // It was sent, so nothing can be promised.
         co_await answer_problem(http::status::gateway_timeout, "time_over",
                                 milliseconds(0));
-        log_end(request, "time_over", 504);
+        log_.ended(request, "time_over", 504);
         co_return;
     }
     if (request.may_have_run)
     {
         co_await answer_problem(http::status::bad_gateway, to_string(last),
                                 milliseconds(0));
-        log_end(request, to_string(last), 502);
+        log_.ended(request, to_string(last), 502);
         co_return;
     }
     co_await answer_problem(http::status::service_unavailable, to_string(last),
                             soon);
-    log_end(request, to_string(last), 503);
+    log_.ended(request, to_string(last), 503);
 }
 
 asio::awaitable<void>
 request_session::answer_refusal(open_request& request,
                                 const refusal_decision& refused)
 {
-    const std::string_view reason = to_string(refused.reason);
-    context_.log.write(
-        direct_event::request_refused,
-        {{"request", request.meta.attempt_id},
-         {"route", request.profile.way->name},
-         {"account", request.account_name},
-         {"reason", std::string(reason)},
-         {"wait_ms", ms_text(refused.wait_ms)},
-         {"retry_after_ms", std::to_string(refused.retry_after.count())},
-         {"config", std::to_string(request.config->version)}});
-    co_await answer_problem(http::status::service_unavailable, reason,
-                            std::max(refused.retry_after, milliseconds(50)));
+    log_.refused(request, refused);
+    co_await answer_problem(http::status::service_unavailable,
+                            to_string(refused.reason),
+                            std::max(refused.retry_after, least_pause));
 }
 
 asio::awaitable<void> request_session::answer_problem(http::status status,
@@ -509,54 +457,6 @@
     socket_.close(ignored);
 }
 
-void request_session::log_placed(const open_request& request,
-                                 const core::direct::placement_decision& placed)
-{
-    context_.log.write(
-        direct_event::request_placed,
-        {{"request", request.meta.attempt_id},
-         {"route", request.profile.way->name},
-         {"account", request.account_name},
-         {"endpoint", placed.endpoint.boot},
-         {"attempt", std::to_string(request.attempts)},
-         {"predicted_ms", ms_text(placed.predicted_ms)},
-         {"wait_ms", ms_text(placed.wait_ms)},
-         {"prompt_tokens", ms_text(request.profile.prompt_tokens)},
-         {"cached_tokens", ms_text(placed.cached_tokens)},
-         {"config", std::to_string(request.config->version)}});
-}
-
-std::string request_session::first_text(const open_request& request)
-{
-    if (request.first == core::time_point())
-        return "none";
-    return ms_text(request.first - request.profile.arrived);
-}
-
-void request_session::log_end(const open_request& request,
-                              std::string_view outcome, unsigned status)
-{
-    ++context_.metrics.ended[std::string(outcome)];
-    const core::duration total = now() - request.profile.arrived;
-    const auto seconds = [](core::duration value)
-    { return std::chrono::duration<double>(value).count(); };
-    service_latency& of = context_.metrics.of(request.service_name);
-    of.total.record(seconds(total));
-    if (request.first != core::time_point())
-        of.first.record(seconds(request.first - request.profile.arrived));
-    if (request.longest_pause > core::duration(0))
-        of.pause.record(seconds(request.longest_pause));
-    context_.log.write(
-        direct_event::request_ended,
-        {{"request", request.meta.attempt_id},
-         {"outcome", std::string(outcome)},
-         {"status", std::to_string(status)},
-         {"attempts", std::to_string(request.attempts)},
-         {"events", std::to_string(request.events.count())},
-         {"first_ms", ms_text(request.first - request.profile.arrived)},
-         {"total_ms", ms_text(total)}});
-}
-
 void request_session::stop_request(stop why)
 {
     stop_ = why;
--- a/packages/adapters/lib/direct/request_session.hpp
+++ b/packages/adapters/lib/direct/request_session.hpp
@@ -1,10 +1,9 @@
 // One caller's connection: reads requests, tries endpoints, answers.
 #pragma once
 
-#include "attempt.hpp"
+#include "request_log.hpp"
 
 #include <memory>
-#include <set>
 
 namespace sycamorelock::adapters::direct
 {
@@ -20,7 +19,6 @@
 
     /// Closes the connection if it is between two requests.
     void close_if_idle();
-    [[nodiscard]] bool busy() const { return busy_; }
 
   private:
     using parser = http::request_parser<http::string_body>;
@@ -33,28 +31,7 @@
         time_over,
     };
 
-    /// The request that is being served.
-    struct open_request
-    {
-        caller_message message;
-        request_meta meta;
-        core::direct::request_profile profile;
-        std::shared_ptr<const core::direct::catalogue> config;
-        core::service_id service;
-        std::string service_name;
-        std::string account_name;
-        std::set<core::endpoint_id> tried;
-        unsigned attempts = 0;
-        /// When the first event, or a whole answer, came.
-        core::time_point first;
-        core::duration longest_pause{0};
-        /// An endpoint may have begun to run it.
-        bool may_have_run = false;
-        event_splitter events;
-    };
-
     asio::awaitable<bool> serve_one();
-    asio::awaitable<error_code> read(parser& request);
     asio::awaitable<void> answer_unreadable(error_code error);
     asio::awaitable<void> read_to_the_end();
     asio::awaitable<void> handle(caller_message message);
@@ -66,6 +43,13 @@
                                  http::status status, std::string_view reason,
                                  milliseconds retry_after);
     asio::awaitable<void> carry_out(open_request& request);
+    /// Makes one attempt. Returns where the next one goes; without one the
+    /// request has had its final answer.
+    asio::awaitable<std::optional<core::direct::placement_decision>>
+    try_at(open_request& request, core::direct::placement_decision placed);
+    /// Ends the request if no other attempt could do better; returns whether.
+    asio::awaitable<bool> finish(open_request& request, attempt& tried,
+                                 attempt_end end);
     asio::awaitable<void> deliver(open_request& request, held_answer answer,
                                   std::string_view outcome);
     [[nodiscard]] std::optional<core::direct::placement_decision>
@@ -78,11 +62,6 @@
     asio::awaitable<void> answer_problem(http::status status,
                                          std::string_view reason,
                                          milliseconds retry_after);
-    void log_placed(const open_request& request,
-                    const core::direct::placement_decision& placed);
-    static std::string first_text(const open_request& request);
-    void log_end(const open_request& request, std::string_view outcome,
-                 unsigned status);
     void watch_caller();
     void stop_request(stop why);
     void cut();
@@ -92,6 +71,7 @@
     std::function<void(request_session*)> ended_;
     beast::flat_buffer buffer_;
     answer_writer out_;
+    request_log log_;
     watchdog::limit limit_;
     attempt* attempt_ = nullptr;
     std::uint64_t number_ = 0;
--- a/test/integration/direct_test.cpp
+++ b/test/integration/direct_test.cpp
@@ -440,3 +440,31 @@
         check_stream(got, asked, 60);
     }
 }
+
+// On-call engineers read both times off one line.
+Test(direct, the_end_of_a_request_tells_its_times)
+{
+    direct_fleet fleet({});
+    const direct_call served = fleet.make_call(0);
+    check_stream(ask(served), served, 5);
+    for (std::size_t i = 0; i < 2; ++i)
+        fleet.plain(i).set_fault(answer_fault::lost);
+    const direct_call lost = fleet.make_call(0, "/order/1");
+    cr_expect_eq(ask(lost).status, 502U);
+    const auto end_of = [&](const direct_call& asked)
+    {
+        const std::string log = fleet.log_of(fleet.at(0));
+        const std::size_t at =
+            log.find("\"name\":\"request_ended\",\"instance\":\"" +
+                     fleet.at(0).ip + "\",\"request\":\"" + asked.id + '"');
+        return at == std::string::npos
+                   ? std::string()
+                   : log.substr(at, log.find('\n', at) - at);
+    };
+    cr_assert(eventually([&] { return !end_of(lost).empty(); },
+                         std::chrono::seconds(2)));
+    cr_expect(end_of(served).find("\"pause_ms\":\"") != std::string::npos);
+    cr_expect(end_of(served).find("\"first_ms\":\"none\"") ==
+              std::string::npos);
+    cr_expect(end_of(lost).find("\"first_ms\":\"none\"") != std::string::npos);
+}
