Homes of prompts in a module of their own; the inbox of a link is its last member

router.cpp held the hash and the walk over prompt parts beside the decision. The inbox of peer_link had moved before the maps with nng_link.cpp: it was closed last and opened first, before that the other way round, which is restored.

--- a/packages/adapters/lib/direct/request_log.cpp
+++ b/packages/adapters/lib/direct/request_log.cpp
@@ -101,16 +101,15 @@
         of.first.record(seconds(request.first - request.profile.arrived));
     if (request.longest_pause > core::duration(0))
         of.pause.record(seconds(request.longest_pause));
-    context_.log.write(
-        direct_event::request_ended,
-        {{"request", request.meta.attempt_id},
-         {"outcome", std::string(outcome)},
-         {"status", std::to_string(status)},
-         {"attempts", std::to_string(request.attempts)},
-         {"events", std::to_string(request.events.count())},
-         {"first_ms", first_text(request)},
-         {"pause_ms", ms_text(request.longest_pause)},
-         {"total_ms", ms_text(total)}});
+    context_.log.write(direct_event::request_ended,
+                       {{"request", request.meta.attempt_id},
+                        {"outcome", std::string(outcome)},
+                        {"status", std::to_string(status)},
+                        {"attempts", std::to_string(request.attempts)},
+                        {"events", std::to_string(request.events.count())},
+                        {"first_ms", first_text(request)},
+                        {"pause_ms", ms_text(request.longest_pause)},
+                        {"total_ms", ms_text(total)}});
 }
 
 } // namespace sycamorelock::adapters::direct
--- a/packages/adapters/lib/peer_link.cpp
+++ b/packages/adapters/lib/peer_link.cpp
@@ -131,13 +131,15 @@
 
     peer_link_settings settings_;
     peer_metrics& metrics_;
-    pull_inbox inbox_;
     wire::replay_filter filter_;
     std::map<core::instance_id, std::string> addresses_;
     std::map<core::instance_id, peer> peers_;
     std::map<core::instance_id, std::uint32_t> incarnations_;
     std::map<std::string, std::unique_ptr<push_link>> seeds_;
     std::uint64_t sequence_ = 0;
+    /// Last, so that nothing arrives before the rest stands or after it is
+    /// gone.
+    pull_inbox inbox_;
 };
 
 peer_link::peer_link(peer_link_settings settings, peer_metrics& metrics,
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -2,6 +2,7 @@
 #include "sycamorelock/core/direct/router.hpp"
 
 #include "sycamorelock/core/direct/peers.hpp"
+#include "sycamorelock/core/direct/prompt_home.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -65,33 +66,6 @@
            uncached * (cached + uncached / 2) / million * ms_per_million_pairs;
 }
 
-std::uint64_t mix(std::uint64_t value)
-{
-    value ^= value >> 33U;
-    value *= 0xff51afd7ed558ccdULL;
-    value ^= value >> 33U;
-    value *= 0xc4ceb9fe1a85ec53ULL;
-    return value ^ (value >> 33U);
-}
-
-/// From 0 to 1, the same on every instance.
-double rank_of(std::uint64_t key, endpoint_id endpoint)
-{
-    static constexpr double range = 1.0 / 4294967296.0;
-    const std::uint64_t mixed =
-        mix(key ^ (std::uint64_t{endpoint.value()} << 32U | endpoint.value()));
-    return static_cast<double>(mixed >> 32U) * range;
-}
-
-/// Key of the part of a prompt that others share: all but the last part.
-std::uint64_t shared_key(const request_profile& asked)
-{
-    if (asked.parts.empty())
-        return 0;
-    const std::size_t last = asked.parts.size() - 1;
-    return asked.parts[last == 0 ? 0 : last - 1].key;
-}
-
 /// Longest wait as a share of the objective.
 double allowed_wait(const account_standing& standing)
 {
@@ -222,10 +196,7 @@
     const double known = cache_.cached(engine, asked.parts);
     if (engine != asked.home)
         return known;
-    double shared = 0;
-    for (std::size_t i = 0; i + 1 < asked.parts.size(); ++i)
-        shared += asked.parts[i].tokens;
-    return std::max(known, shared);
+    return std::max(known, shared_tokens(asked.parts));
 }
 
 endpoint_id router::home_of(time_point now, const request_profile& asked,
@@ -236,7 +207,7 @@
     const auto listed = by_service_.find(wanted);
     if (listed == by_service_.end() || asked.parts.size() < 2)
         return home;
-    const std::uint64_t key = shared_key(asked);
+    const std::uint64_t key = shared_key(asked.parts);
     for (const endpoint_id id : listed->second)
     {
         const endpoint_state& state = endpoints_.at(id);
@@ -285,7 +256,7 @@
     if (at.record.domain != options_.domain)
         made.cost += domain_price_ms;
     const std::uint64_t key =
-        asked.parts.empty() ? options_.seed : shared_key(asked);
+        asked.parts.empty() ? options_.seed : shared_key(asked.parts);
     made.cost += rank_of(key, id) * tie_ms;
     return made;
 }
--- a/packages/core/unittests/direct_parts_test.cpp
+++ b/packages/core/unittests/direct_parts_test.cpp
@@ -1,8 +1,9 @@
 // The parts of direct routing one by one: shares, cache estimate, ledger,
-// health, registry, routes.
+// health, registry, routes, homes.
 #include "sycamorelock/core/direct/catalogue.hpp"
 #include "sycamorelock/core/direct/endpoint_health.hpp"
 #include "sycamorelock/core/direct/endpoint_registry.hpp"
+#include "sycamorelock/core/direct/prompt_home.hpp"
 #include "sycamorelock/core/direct/router.hpp"
 
 #include <criterion/criterion.h>
@@ -195,3 +196,38 @@
     cr_expect_str_eq(config.find_route("h", "/x")->name.c_str(), "/");
     cr_expect_null(config.find_route("other", "/a/"));
 }
+
+Test(direct_home, what_is_shared_is_all_but_the_last_part)
+{
+    const std::vector<prompt_part> parts{{1, 100}, {2, 50}, {3, 7}};
+    cr_expect_eq(shared_key(parts), 2U);
+    cr_expect_float_eq(shared_tokens(parts), 150, 1e-9);
+    const std::vector<prompt_part> one{{9, 100}};
+    cr_expect_eq(shared_key(one), 9U);
+    cr_expect_float_eq(shared_tokens(one), 0, 1e-9);
+    cr_expect_eq(shared_key({}), 0U);
+}
+
+Test(direct_home, keys_spread_over_engines)
+{
+    std::map<std::uint32_t, int> homes;
+    for (std::uint64_t key = 1; key <= 2000; ++key)
+    {
+        endpoint_id home;
+        double best = -1;
+        for (int i = 0; i < 10; ++i)
+        {
+            const auto id = endpoint_id::of("engine-" + std::to_string(i));
+            const double rank = rank_of(key, id);
+            cr_assert(rank >= 0 && rank < 1);
+            if (rank <= best)
+                continue;
+            best = rank;
+            home = id;
+        }
+        ++homes[home.value()];
+    }
+    cr_assert_eq(homes.size(), 10U);
+    for (const auto& [id, count] : homes)
+        cr_expect(count > 120 && count < 300, "%d of 2000", count);
+}
