Large fleets: the store is read by one instance a failure domain, and by others only when that one is behind

Ruled out: longer waits alone, as each change ends every wait. Now: an aggregator tells its members the store's revision, the age of its last answer and a digest of the endpoints; a member with another digest gets all of them, one that is behind with the configuration gets that at once. A member reads by itself when its aggregator was silent for 0.7 s or builds on an answer older than 1.1 s; an older revision is never taken over. Tested with 15 processes: one reader, changes known to all within 1.5 s, and within 2 s of the reader's end.

--- a/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
@@ -8,9 +8,11 @@
 #include "sycamorelock/core/direct/exchange_tree.hpp"
 #include "sycamorelock/core/direct/note_relay.hpp"
 #include "sycamorelock/core/direct/peers.hpp"
+#include "sycamorelock/core/direct/store_cover.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <map>
 #include <memory>
 #include <random>
 
@@ -61,7 +63,13 @@
     void take(core::direct::exchange_report report);
     void use_rest(core::direct::exchange_sum rest);
     void use_notes(std::vector<core::direct::cache_note> notes);
-    void help_with_config(const std::string& peer);
+    void help_with_config(const core::direct::exchange_report& behind);
+    void pass_config_to(const std::string& peer);
+    void use_store_view(const core::direct::exchange_report& report);
+    [[nodiscard]] core::direct::store_view
+    own_store_view(core::time_point at) const;
+    [[nodiscard]] std::vector<core::direct::endpoint_record> endpoints() const;
+    void choose_reader(core::time_point at, bool is_aggregator);
     void endpoints_changed();
     void note_endpoint(const core::direct::endpoint_record& record);
     void update_ready();
@@ -82,7 +90,11 @@
     std::minstd_rand random_;
     core::direct::exchange_tree tree_;
     core::direct::note_relay relay_;
-    unsigned round_ = 0;
+    core::direct::store_cover cover_;
+    /// What each member last told of the endpoints that it knows.
+    std::map<std::string, core::direct::store_view> member_views_;
+    /// When the configuration was last passed on to another instance.
+    std::map<std::string, core::time_point> helped_at_;
     std::size_t live_ = 0;
     bool was_ready_ = false;
     bool leaving_ = false;
--- a/packages/adapters/include/sycamorelock/adapters/direct/store_watch.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/store_watch.hpp
@@ -35,6 +35,19 @@
                 store_listener listener);
 
     void start();
+    /// Whether this instance follows the store; otherwise it makes no calls
+    /// once the first listing is read.
+    void set_following(bool following);
+    [[nodiscard]] bool following() const;
+    /// The revision up to which everything was read, and when the store last
+    /// answered.
+    [[nodiscard]] std::uint64_t revision() const;
+    [[nodiscard]] core::time_point answered_at() const;
+    /// What came before this revision is known by another way.
+    void advance_to(std::uint64_t revision);
+    /// Others depend on this instance: it waits for changes in short calls, so
+    /// that a silent store shows soon.
+    void set_relied_on(bool relied_on);
     /// Calls made so far.
     [[nodiscard]] std::uint64_t calls() const;
 
--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -71,6 +71,7 @@
     store_back = 3302,
     store_history_gone = 3303,
     store_answer_malformed = 3304,
+    store_followed = 3305,
     lines_dropped = 3401,
     lines_left_out = 3402,
     settings_reloaded = 3501,
--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -19,8 +19,9 @@
 /// given the time to read a new version by themselves, since a copy to each
 /// from each would fill the links.
 constexpr core::duration help_after = milliseconds(400);
-/// A large fleet exchanges in every second round.
-constexpr unsigned large_fleet_rounds = 1;
+/// Least time between two copies of the configuration to one instance; the
+/// first is in force before then.
+constexpr core::duration help_again_after = milliseconds(300);
 /// A link that was not used for this time is closed; a large fleet's instance
 /// talks to each of the others only now and then.
 constexpr core::duration idle_link = std::chrono::seconds(5);
@@ -208,14 +209,12 @@
     report.config_version = version_;
     if (!peers_.large(at))
     {
+        choose_reader(at, true);
         tell(at, report, peers_.everyone());
         return;
     }
     relay_.add_own(std::move(report.notes));
     report.notes.clear();
-    // News that is twice as old costs half as much.
-    if (++round_ % large_fleet_rounds != 0)
-        return;
     exchange_in_tree(at, std::move(report));
 }
 
@@ -237,8 +236,10 @@
     const std::string aggregator =
         peers_.aggregator(at, core::domain_id::of(settings_.domain));
     own.notes = relay_.take_own();
+    choose_reader(at, aggregator.empty());
     if (!aggregator.empty())
     {
+        own.store = own_store_view(at);
         own.part = report_part::member;
         tell(at, own, {aggregator});
     }
@@ -259,8 +260,13 @@
         tell(at, other, {peers_.aggregator(at, domain)});
     other.part = report_part::rest;
     other.notes = relay_.take_all();
+    const core::direct::store_view view = own_store_view(at);
     for (const std::string& member : tree_.members(at))
     {
+        other.store = view;
+        const core::direct::store_view& known = member_views_[member];
+        if (known.digest != view.digest && known.revision <= view.revision)
+            other.store.endpoints = endpoints();
         core::direct::exchange_sum rest = tree_.rest_for(at, member);
         other.work = std::move(rest.work);
         other.demands = std::move(rest.demands);
@@ -296,6 +302,7 @@
         tree_.on_member(at, report.sender,
                         {std::move(report.work), std::move(report.demands)});
         relay_.add_member(report.notes);
+        member_views_[report.sender] = report.store;
         use_notes(std::move(report.notes));
         break;
     case report_part::domain:
@@ -305,6 +312,7 @@
         use_notes(std::move(report.notes));
         break;
     case report_part::rest:
+        use_store_view(report);
         use_rest({std::move(report.work), std::move(report.demands)});
         use_notes(std::move(report.notes));
         break;
@@ -333,19 +341,35 @@
     if (report.config)
         return;
     if (report.config_version < version_)
-        help_with_config(report.sender);
+        help_with_config(report);
     take(std::move(report));
 }
 
-void control_plane::help_with_config(const std::string& peer)
+void control_plane::help_with_config(const exchange_report& behind)
 {
     const core::time_point at = now();
+    // Members rely on this instance.
+    if (behind.part == core::direct::report_part::member)
+    {
+        pass_config_to(behind.sender);
+        return;
+    }
     if (at - installed_at_ < help_after)
         return;
-    // All that are ahead see it; one of them is enough.
+    // In a small fleet all that are ahead see it, and one of them is enough; in
+    // a large one only a few do.
     std::uniform_int_distribution<std::size_t> draw(0, live_);
-    if (draw(random_) > 0)
+    if (peers_.large(at) || draw(random_) == 0)
+        pass_config_to(behind.sender);
+}
+
+void control_plane::pass_config_to(const std::string& peer)
+{
+    const core::time_point at = now();
+    core::time_point& helped = helped_at_[peer];
+    if (at - helped < help_again_after)
         return;
+    helped = at;
     exchange_report copy;
     copy.part = core::direct::report_part::none;
     copy.config_version = version_;
@@ -355,6 +379,52 @@
     tell(at, copy, {peer});
 }
 
+core::direct::store_view
+control_plane::own_store_view(core::time_point at) const
+{
+    core::direct::store_view view;
+    view.revision = store_.revision();
+    view.age = std::chrono::ceil<milliseconds>(at - store_.answered_at());
+    view.digest = registry_.digest();
+    return view;
+}
+
+std::vector<endpoint_record> control_plane::endpoints() const
+{
+    std::vector<endpoint_record> result;
+    result.reserve(registry_.all().size());
+    for (const auto& [boot, record] : registry_.all())
+        result.push_back(record);
+    return result;
+}
+
+void control_plane::choose_reader(core::time_point at, bool is_aggregator)
+{
+    store_.set_following(is_aggregator || !cover_.covered(at));
+    store_.set_relied_on(is_aggregator && tree_.aggregates(at));
+}
+
+void control_plane::use_store_view(const exchange_report& report)
+{
+    const core::time_point at = now();
+    cover_.heard(at, report.store);
+    if (!cover_.covered(at) || report.store.revision < store_.revision())
+        return;
+    // A version that is on its way is not yet known, so it must be read.
+    if (report.config_version <= version_)
+        store_.advance_to(report.store.revision);
+    if (!report.store.endpoints)
+        return;
+    const core::direct::endpoint_registry::adopted news =
+        registry_.adopt(*report.store.endpoints);
+    for (const endpoint_record& record : news.changed)
+        note_endpoint(record);
+    for (const std::string& boot : news.gone)
+        log_.write(direct_event::endpoint_gone, {{"endpoint", boot}});
+    if (!news.changed.empty() || !news.gone.empty())
+        endpoints_changed();
+}
+
 bool control_plane::ready() const
 {
     return version_ > 0 && !registry_.all().empty() && !leaving_;
@@ -383,6 +453,9 @@
            std::uint64_t{registry_.all().size()});
     single(out, "peers_live", "gauge", "Other instances heard lately.",
            std::uint64_t{live_});
+    single(out, "store_followed", "gauge",
+           "Whether this instance reads the store itself.",
+           std::uint64_t{store_.following() ? 1U : 0U});
     single(out, "store_calls_total", "counter", "Calls to the store.",
            store_.calls());
     return out;
--- a/packages/adapters/lib/direct/store_watch.cpp
+++ b/packages/adapters/lib/direct/store_watch.cpp
@@ -17,12 +17,15 @@
 /// How long a waiting call may wait. A connection that went silent shows after
 /// this time and `answer_slack`; a longer one saves calls.
 constexpr milliseconds watch_wait{2000};
+/// The same at an instance on which others rely, see `store_cover`.
+constexpr milliseconds short_watch_wait{500};
 /// Time for the way of an answer beyond the wait, also from a slow store.
 constexpr milliseconds answer_slack{700};
 /// Least time between two waiting calls. What changes meanwhile comes with the
 /// next one: when many endpoints start, each instance makes two calls a second
 /// and not one for each endpoint. A change is at most this much older.
 constexpr core::duration watch_gap = milliseconds(500);
+constexpr core::duration short_watch_gap = milliseconds(250);
 constexpr milliseconds read_timeout{1500};
 /// Pauses after a failure: the first, and the longest. Randomised, so that
 /// instances do not come back at the same moment. The longest delays the notice
@@ -41,7 +44,8 @@
     impl(boost::asio::io_context& io, std::string address,
          const dialect_table& dialect, event_log& log, store_listener listener)
         : io_(io), address_(std::move(address)), dialect_(dialect), log_(log),
-          listener_(std::move(listener)), random_(std::random_device{}())
+          listener_(std::move(listener)), random_(std::random_device{}()),
+          covered_(io)
     {
     }
 
@@ -53,11 +57,36 @@
             const bool fresh = co_await read_all();
             bool following = fresh;
             while (following)
+            {
+                co_await wait_while_covered();
                 following = co_await follow();
+            }
             co_await pause();
         }
     }
 
+    void set_following(bool following)
+    {
+        if (following_ == following)
+            return;
+        following_ = following;
+        log_.write(direct_event::store_followed,
+                   {{"by", following ? "this_instance" : "aggregator"},
+                    {"revision", std::to_string(revision_)}});
+        if (following)
+            covered_.cancel();
+    }
+
+    [[nodiscard]] bool following() const { return following_; }
+
+    void advance_to(std::uint64_t revision)
+    {
+        revision_ = std::max(revision_, revision);
+    }
+
+    void set_relied_on(bool relied_on) { relied_on_ = relied_on; }
+    [[nodiscard]] std::uint64_t revision() const { return revision_; }
+    [[nodiscard]] core::time_point answered_at() const { return answered_at_; }
     [[nodiscard]] std::uint64_t calls() const { return calls_; }
     [[nodiscard]] boost::asio::io_context& io() { return io_; }
 
@@ -104,10 +133,10 @@
         const core::time_point at = now();
         if (at < next_watch_)
             co_await sleep(std::chrono::ceil<milliseconds>(next_watch_ - at));
-        next_watch_ = now() + watch_gap;
-        const auto answer =
-            co_await call(dialect_.watch_target(revision_, watch_wait),
-                          watch_wait + answer_slack);
+        next_watch_ = now() + (relied_on_ ? short_watch_gap : watch_gap);
+        const milliseconds wait = relied_on_ ? short_watch_wait : watch_wait;
+        const auto answer = co_await call(
+            dialect_.watch_target(revision_, wait), wait + answer_slack);
         if (!answer || answer->result() != http::status::ok)
             co_return failed(answer);
         const auto news = decoded(dialect_.read_watch, answer->body());
@@ -161,6 +190,7 @@
     void succeeded()
     {
         failures_ = 0;
+        answered_at_ = now();
         if (reachable_)
             return;
         reachable_ = true;
@@ -181,6 +211,17 @@
         co_await sleep(milliseconds(length(random_)));
     }
 
+    asio::awaitable<void> wait_while_covered()
+    {
+        while (!following_)
+        {
+            // The store closes connections that rest.
+            stream_.reset();
+            covered_.expires_at(asio::steady_timer::time_point::max());
+            co_await covered_.async_wait(as_result);
+        }
+    }
+
     asio::awaitable<void> sleep(milliseconds length)
     {
         asio::steady_timer timer(io_, length);
@@ -232,6 +273,10 @@
     std::mt19937 random_;
     std::optional<beast::tcp_stream> stream_;
     beast::flat_buffer buffer_;
+    asio::steady_timer covered_;
+    bool following_ = true;
+    bool relied_on_ = false;
+    core::time_point answered_at_;
     std::uint64_t revision_ = 0;
     std::uint64_t calls_ = 0;
     core::time_point next_watch_;
@@ -253,6 +298,36 @@
         impl_->io(), [impl = impl_] { return impl->run(); }, asio::detached);
 }
 
+void store_watch::set_following(bool following)
+{
+    impl_->set_following(following);
+}
+
+bool store_watch::following() const
+{
+    return impl_->following();
+}
+
+void store_watch::advance_to(std::uint64_t revision)
+{
+    impl_->advance_to(revision);
+}
+
+void store_watch::set_relied_on(bool relied_on)
+{
+    impl_->set_relied_on(relied_on);
+}
+
+std::uint64_t store_watch::revision() const
+{
+    return impl_->revision();
+}
+
+core::time_point store_watch::answered_at() const
+{
+    return impl_->answered_at();
+}
+
 std::uint64_t store_watch::calls() const
 {
     return impl_->calls();
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -133,6 +133,9 @@
                "The store forgot its history; everything is read anew."},
     event_kind{3304, warn, "store_answer_malformed",
                "An answer of the store could not be read."},
+    event_kind{3305, info, "store_followed",
+               "Who reads the store for this instance changed: itself or its "
+               "aggregator."},
     event_kind{3401, warn, "lines_dropped",
                "Log lines were dropped because nobody read them fast enough."},
     event_kind{3402, info, "lines_left_out",
--- a/packages/core/include/sycamorelock/core/direct/endpoint_registry.hpp
+++ b/packages/core/include/sycamorelock/core/direct/endpoint_registry.hpp
@@ -59,6 +59,18 @@
     /// whole batch of news. Returns whether any was dropped.
     bool expire(time_point now);
 
+    /// Takes over the endpoints of an instance that reads the platform's store
+    /// for this one and has applied the grace.
+    struct adopted
+    {
+        std::vector<endpoint_record> changed;
+        std::vector<std::string> gone;
+    };
+    adopted adopt(const std::vector<endpoint_record>& all);
+
+    /// The same for two instances that know the same endpoints.
+    [[nodiscard]] std::uint64_t digest() const;
+
     [[nodiscard]] const std::map<std::string, endpoint_record>& all() const
     {
         return records_;
--- a/packages/core/include/sycamorelock/core/direct/exchange.hpp
+++ b/packages/core/include/sycamorelock/core/direct/exchange.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "sycamorelock/core/direct/account_shares.hpp"
+#include "sycamorelock/core/direct/endpoint_registry.hpp"
 #include "sycamorelock/core/direct/load_ledger.hpp"
 #include "sycamorelock/core/direct/prefix_cache.hpp"
 
@@ -12,6 +13,8 @@
 namespace sycamorelock::core::direct
 {
 
+using std::chrono::milliseconds;
+
 /// An engine reads these parts; told so that all know what it keeps, and how
 /// many ask about the prompt.
 struct cache_note
@@ -54,6 +57,20 @@
     std::string text;
 };
 
+/// What an instance knows from the platform's store. An aggregator tells its
+/// members, which need not read the store then.
+struct store_view
+{
+    /// The store's revision up to which the sender has read.
+    std::uint64_t revision = 0;
+    /// Time since the store's last answer.
+    milliseconds age{0};
+    /// Digest of the endpoints.
+    std::uint64_t digest = 0;
+    /// All endpoints, for a member that told another digest.
+    std::optional<std::vector<endpoint_record>> endpoints;
+};
+
 /// Periodic report of one instance. Ledger and demands are complete states;
 /// the cache notes are those since the previous report.
 struct exchange_report
@@ -70,6 +87,7 @@
     std::vector<endpoint_work> work;
     std::vector<cache_note> notes;
     std::vector<account_demand> demands;
+    store_view store;
 };
 
 } // namespace sycamorelock::core::direct
--- a/packages/core/lib/direct/endpoint_registry.cpp
+++ b/packages/core/lib/direct/endpoint_registry.cpp
@@ -1,6 +1,11 @@
 // Entries come and go at once, but after an outage a missing entry waits.
 #include "sycamorelock/core/direct/endpoint_registry.hpp"
 
+#include "sycamorelock/core/direct/prefix_cache.hpp"
+
+#include <set>
+#include <string_view>
+
 namespace sycamorelock::core::direct
 {
 
@@ -41,6 +46,41 @@
     }
 }
 
+endpoint_registry::adopted
+endpoint_registry::adopt(const std::vector<endpoint_record>& all)
+{
+    adopted result;
+    std::set<std::string_view> listed;
+    for (const endpoint_record& record : all)
+    {
+        listed.insert(record.boot);
+        if (put(record))
+            result.changed.push_back(record);
+    }
+    for (const auto& [boot, record] : records_)
+    {
+        if (!listed.contains(boot))
+            result.gone.push_back(boot);
+    }
+    for (const std::string& boot : result.gone)
+    {
+        records_.erase(boot);
+        going_.erase(boot);
+    }
+    return result;
+}
+
+std::uint64_t endpoint_registry::digest() const
+{
+    std::uint64_t key = 0;
+    for (const auto& [boot, record] : records_)
+    {
+        key = extend_key(key, boot);
+        key = extend_key(key, record.draining ? "leaves" : "stays");
+    }
+    return key;
+}
+
 void endpoint_registry::platform_returned(time_point now)
 {
     grace_until_ = now + return_grace;
--- a/packages/core/unittests/direct_parts_test.cpp
+++ b/packages/core/unittests/direct_parts_test.cpp
@@ -6,6 +6,7 @@
 #include "sycamorelock/core/direct/note_relay.hpp"
 #include "sycamorelock/core/direct/prompt_homes.hpp"
 #include "sycamorelock/core/direct/router.hpp"
+#include "sycamorelock/core/direct/store_cover.hpp"
 
 #include <criterion/criterion.h>
 
@@ -327,3 +328,52 @@
         relay.add_domain(std::vector<cache_note>(1000, note));
     cr_expect_eq(relay.take_all().size(), note_relay::most_notes);
 }
+
+Test(direct_registry, the_endpoints_of_an_aggregator_are_taken_over)
+{
+    endpoint_registry reader;
+    reader.put(record("a"));
+    reader.put(record("b"));
+    endpoint_registry member;
+    member.put(record("b"));
+    member.put(record("c"));
+    cr_expect_neq(reader.digest(), member.digest());
+    const auto news = member.adopt({record("a"), record("b")});
+    cr_assert_eq(news.changed.size(), 1U);
+    cr_expect_str_eq(news.changed[0].boot.c_str(), "a");
+    cr_assert_eq(news.gone.size(), 1U);
+    cr_expect_str_eq(news.gone[0].c_str(), "c");
+    cr_expect_eq(reader.digest(), member.digest());
+}
+
+// A member that read the store itself for a moment may know more.
+Test(direct_registry, an_older_entry_does_not_undo_a_newer_one)
+{
+    endpoint_registry member;
+    endpoint_record leaves = record("a");
+    leaves.draining = true;
+    leaves.revision = 5;
+    member.put(leaves);
+    endpoint_record stays = record("a");
+    stays.revision = 4;
+    cr_expect(member.adopt({stays}).changed.empty());
+    cr_expect(member.all().at("a").draining);
+}
+
+Test(direct_cover, a_silent_aggregator_or_an_old_answer_covers_nothing)
+{
+    store_cover cover;
+    cr_expect_not(cover.covered(start));
+    store_view view;
+    view.revision = 7;
+    view.age = milliseconds(300);
+    cover.heard(start, view);
+    cr_expect(cover.covered(start + milliseconds(600)));
+    cr_expect_not(cover.covered(start + milliseconds(800)));
+    view.age = milliseconds(1200);
+    cover.heard(start + milliseconds(900), view);
+    cr_expect_not(cover.covered(start + milliseconds(900)));
+    // An aggregator that has not read anything yet.
+    cover.heard(start + milliseconds(1000), {});
+    cr_expect_not(cover.covered(start + milliseconds(1000)));
+}
--- a/packages/wire/lib/exchange_codec.cpp
+++ b/packages/wire/lib/exchange_codec.cpp
@@ -62,11 +62,50 @@
     return work;
 }
 
+void encode_store(const direct::store_view& view, pb::StoreView& out)
+{
+    out.set_revision(view.revision);
+    out.set_age_ms(static_cast<std::uint32_t>(view.age.count()));
+    out.set_digest(view.digest);
+    out.set_complete(view.endpoints.has_value());
+    if (!view.endpoints)
+        return;
+    for (const direct::endpoint_record& record : *view.endpoints)
+    {
+        pb::EndpointEntry& item = *out.add_endpoints();
+        item.set_boot(record.boot);
+        item.set_service(record.service.value());
+        item.set_address(record.address);
+        item.set_domain(record.domain.value());
+        item.set_slots(record.slots);
+        item.set_draining(record.draining);
+        item.set_revision(record.revision);
+    }
+}
+
+direct::store_view decode_store(const pb::StoreView& item)
+{
+    direct::store_view view;
+    view.revision = item.revision();
+    view.age = std::chrono::milliseconds(item.age_ms());
+    view.digest = item.digest();
+    if (!item.complete())
+        return view;
+    std::vector<direct::endpoint_record>& all = view.endpoints.emplace();
+    for (const pb::EndpointEntry& entry : item.endpoints())
+        all.push_back({entry.boot(), core::service_id(entry.service()),
+                       entry.address(), core::domain_id(entry.domain()),
+                       entry.slots(), entry.draining(), entry.revision()});
+    return view;
+}
+
 void check_sizes(const pb::ExchangeReport& message)
 {
-    const bool too_many =
-        message.peers_size() > max_items || message.work_size() > max_items ||
-        message.notes_size() > max_items || message.demands_size() > max_items;
+    const bool too_many = message.peers_size() > max_items ||
+                          message.work_size() > max_items ||
+                          message.notes_size() > max_items ||
+                          message.demands_size() > max_items ||
+                          message.store().endpoints_size() > max_items;
     if (too_many)
         throw decode_error("too many items in one report");
 }
@@ -114,6 +153,7 @@
         item.set_asked(static_cast<float>(demand.asked));
         item.set_served(static_cast<float>(demand.served));
     }
+    encode_store(report.store, *out.mutable_store());
     std::string bytes = out.SerializeAsString();
     const message_tag tag = make_tag(bytes, key);
     bytes.append(reinterpret_cast<const char*>(tag.data()), tag.size());
@@ -157,6 +197,7 @@
         report.demands.push_back({core::account_id(item.account()),
                                   checked(item.asked()),
                                   checked(item.served())});
+    report.store = decode_store(message.store());
     return report;
 }
 
--- a/packages/wire/unittests/exchange_codec_test.cpp
+++ b/packages/wire/unittests/exchange_codec_test.cpp
@@ -32,6 +32,9 @@
     report.work = {work};
     report.notes = {{core::endpoint_id::of("e"), {{77, 800}, {78, 20}}}};
     report.demands = {{core::account_id::of("n"), 100, 50}};
+    direct::endpoint_record endpoint{
+        "boot", core::service_id::of("s"), "10.0.0.9:1", {}, 64, true, 12};
+    report.store = {13, std::chrono::milliseconds(40), 99, {{endpoint}}};
     return report;
 }
 
@@ -54,6 +57,29 @@
     cr_expect_eq(got.work.at(0).running, 3U);
     cr_expect_eq(got.notes.at(0).parts.at(1).key, 78U);
     cr_expect_float_eq(got.demands.at(0).served, 50, 1e-6);
+    cr_expect_eq(got.store.revision, 13U);
+    cr_expect_eq(got.store.age.count(), 40);
+    cr_expect_eq(got.store.digest, 99U);
+    cr_assert(got.store.endpoints.has_value());
+    const core::direct::endpoint_record& endpoint = got.store.endpoints->at(0);
+    cr_expect_str_eq(endpoint.boot.c_str(), "boot");
+    cr_expect_str_eq(endpoint.address.c_str(), "10.0.0.9:1");
+    cr_expect(endpoint.service == core::service_id::of("s"));
+    cr_expect_eq(endpoint.slots, 64U);
+    cr_expect(endpoint.draining);
+    cr_expect_eq(endpoint.revision, 12U);
+}
+
+Test(exchange_codec, no_endpoints_differ_from_none_told)
+{
+    auto report = full_report();
+    report.store.endpoints.reset();
+    auto got = wire::decode_report(wire::encode_report(report, "key"), "key");
+    cr_expect_not(got.store.endpoints.has_value());
+    report.store.endpoints.emplace();
+    got = wire::decode_report(wire::encode_report(report, "key"), "key");
+    cr_assert(got.store.endpoints.has_value());
+    cr_expect(got.store.endpoints->empty());
 }
 
 Test(exchange_codec, what_was_changed_or_cut_is_refused)
--- a/test/integration/direct_test.cpp
+++ b/test/integration/direct_test.cpp
@@ -441,6 +441,78 @@
     }
 }
 
+// Members of a large fleet leave the store alone, learn of changes all the
+// same, and read for themselves within a second when their aggregator ends.
+Test(direct, one_instance_reads_the_store_for_its_failure_domain)
+{
+    direct_plan plan;
+    plan.instances = 15;
+    direct_fleet fleet(plan);
+    const auto says = [&](std::size_t i, const std::string& words)
+    {
+        return fleet.page(fleet.at(i).metrics_address(), "/metrics")
+                   .find(words) != std::string::npos;
+    };
+    const auto all_say = [&](std::size_t from, const std::string& words)
+    {
+        for (std::size_t i = from; i < plan.instances; ++i)
+        {
+            if (!says(i, words))
+                return false;
+        }
+        return true;
+    };
+    const auto by_aggregator = [&]
+    {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < plan.instances; ++i)
+            count += says(i, "sycamorelock_store_followed 0\n") ? 1 : 0;
+        return count;
+    };
+    cr_assert(eventually([&] { return by_aggregator() == plan.instances - 1; },
+                         std::chrono::seconds(15)),
+              "%zu", by_aggregator());
+    // The aggregator's first waiting call was one of two seconds.
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    const int before = fleet.store().calls();
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    // One reader makes two calls a second; fifteen would make seven at least.
+    const int calls = fleet.store().calls() - before;
+    cr_expect_lt(calls, 15, "%d", calls);
+
+    fleet.publish(2, {"south"});
+    fleet.unlist_engine(0);
+    const auto learned = [&]
+    {
+        return all_say(0, "sycamorelock_config_version 2\n") &&
+               all_say(0, "sycamorelock_endpoints 3\n");
+    };
+    cr_expect(eventually(learned, milliseconds(1500)));
+
+    // The lowest address aggregates.
+    std::size_t lowest = 0;
+    for (std::size_t i = 1; i < plan.instances; ++i)
+    {
+        if (fleet.at(i).peer_address() < fleet.at(lowest).peer_address())
+            lowest = i;
+    }
+    fleet.kill(fleet.at(lowest));
+    fleet.list_engine(1, "draining");
+    const auto drained = [&]
+    {
+        for (std::size_t i = 0; i < plan.instances; ++i)
+        {
+            const bool knows =
+                fleet.log_of(fleet.at(i)).find("endpoint_drains") !=
+                std::string::npos;
+            if (i != lowest && !knows)
+                return false;
+        }
+        return true;
+    };
+    cr_expect(eventually(drained, milliseconds(2000)));
+}
+
 // On-call engineers read both times off one line.
 Test(direct, the_end_of_a_request_tells_its_times)
 {
