--- /dev/null
+++ b/test/soak/soak_run.cpp
@@ -0,0 +1,523 @@
+// Applies the actions at their times and checks the records afterwards.
+#include "soak_run.hpp"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <set>
+#include <sys/wait.h>
+#include <thread>
+
+namespace soak
+{
+
+using namespace standin;
+
+namespace
+{
+
+/// Time after the last action for instances to find each other and the store.
+constexpr milliseconds settle{4000};
+/// An instance that got SIGTERM ends within the shutdown time of the test
+/// fleet (5 s) and a second.
+constexpr milliseconds longest_shutdown{6500};
+/// Answers may be this much later than the time limit of a route.
+constexpr milliseconds answer_slack{1000};
+/// Bound on new work for an endpoint that leaves, as operators see it.
+constexpr milliseconds drain_bound{2000};
+constexpr std::size_t engine_count = 4;
+constexpr std::size_t plain_count = 3;
+
+/// A stretch of time in which an instance was harmed.
+struct disturbance
+{
+    std::size_t instance = 0;
+    clock::time_point from;
+    clock::time_point to;
+};
+
+class round_of_soak
+{
+  public:
+    explicit round_of_soak(const round_plan& plan)
+        : plan_(plan), script_(draw_script(plan.seed, plan.length)),
+          fleet_(fleet_plan(plan)), states_(plan.instances),
+          load_(fleet_, plan.instances, plan.callers, plan.seed)
+    {
+    }
+
+    round_result play()
+    {
+        begin_ = clock::now();
+        for (const action& each : script_.actions)
+            schedule(each);
+        run_due();
+        std::this_thread::sleep_for(settle);
+        check_processes();
+        check_recovery();
+        check(load_.stop());
+        if (!result_.broken.empty())
+            keep_logs();
+        return result_;
+    }
+
+  private:
+    enum class state : std::uint8_t
+    {
+        up,
+        leaving,
+        down,
+        frozen,
+    };
+
+    static direct_plan fleet_plan(const round_plan& plan)
+    {
+        direct_plan made;
+        made.instances = plan.instances;
+        made.engines = engine_count;
+        made.plain = plain_count;
+        made.events = 12;
+        made.gap = milliseconds(15);
+        made.proxied = true;
+        return made;
+    }
+
+    void broke(const std::string& what) { result_.broken.push_back(what); }
+
+    void later(milliseconds at, std::function<void()> what)
+    {
+        due_.emplace(at, std::move(what));
+    }
+
+    void run_due()
+    {
+        while (!due_.empty())
+        {
+            auto next = due_.extract(due_.begin());
+            std::this_thread::sleep_until(begin_ + next.key());
+            next.mapped()();
+        }
+    }
+
+    void schedule(const action& what)
+    {
+        later(what.at,
+              [this, what]
+              {
+                  result_.actions.push_back(std::to_string(what.at.count()) +
+                                            " ms " +
+                                            std::string(to_string(what.what)) +
+                                            ' ' + std::to_string(what.target));
+                  begin(what);
+              });
+    }
+
+    void begin(const action& what)
+    {
+        const std::size_t i = what.target % plan_.instances;
+        const milliseconds end = what.at + what.length;
+        switch (what.what)
+        {
+        case harm::terminate_instance:
+            return terminate(i, what.at);
+        case harm::reload_settings:
+            return reload(i);
+        case harm::publish_config:
+            return fleet_.publish(++version_, {"south"});
+        case harm::kill_instance:
+            return kill_instance(i, end);
+        case harm::freeze_instance:
+            return freeze(i, end);
+        case harm::cut_store_from_instance:
+            return harm_route(fleet_.at(i).store_address, {.cut = true}, end);
+        case harm::silence_store_to_instance:
+            return harm_route(fleet_.at(i).store_address, {.drop_back = true},
+                              end);
+        case harm::store_closed:
+            return set_store(store_mode::closed, end);
+        case harm::store_silent:
+            return set_store(store_mode::silent, end);
+        case harm::store_busy:
+            return set_store(store_mode::busy, end);
+        case harm::store_forgets:
+            return fleet_.store().forget_history();
+        case harm::drain_engine:
+            return drain(what.target % engine_count, what.at);
+        default:
+            return harm_engine(what, end);
+        }
+    }
+
+    void harm_engine(const action& what, milliseconds end)
+    {
+        const std::size_t number = what.target % (engine_count + plain_count);
+        direct_engine& engine = number < engine_count
+                                    ? fleet_.engine(number)
+                                    : fleet_.plain(number - engine_count);
+        const std::string route = fleet_.route_of(engine);
+        switch (what.what)
+        {
+        case harm::delay_engine:
+            return harm_route(route, {.delay = milliseconds(120)}, end);
+        case harm::cut_engine:
+            return harm_route(route, {.cut = true}, end);
+        case harm::silence_engine:
+            return harm_route(route, {.drop_back = true}, end);
+        case harm::one_way_to_engine:
+            return harm_route(route, {.drop_forward = true}, end);
+        case harm::truncate_engine:
+            return harm_route(route, {.truncate_back = long(what.target % 400)},
+                              end);
+        case harm::engine_declines:
+            return engine.set_fault(answer_fault::declines, 0, 5);
+        case harm::engine_errors:
+            return engine.set_fault(answer_fault::server_error, 0, 5);
+        case harm::engine_loses_answers:
+            return engine.set_fault(answer_fault::lost, 0, 5);
+        case harm::engine_hangs:
+            return engine.set_fault(answer_fault::silent, 0, 3);
+        case harm::engine_sends_twice:
+            // The stand-in sends whole answers only, so not for streams.
+            return fleet_.plain(what.target % plain_count)
+                .set_fault(answer_fault::extra, 0, 5);
+        case harm::replace_engine:
+            return replace(what.target % engine_count, end);
+        default:
+            throw std::logic_error("no such harm");
+        }
+    }
+
+    void harm_route(const std::string& route, const fault& harm,
+                    milliseconds end)
+    {
+        fleet_.faults().set("*", route, harm);
+        later(end, [this, route] { fleet_.faults().set("*", route, {}); });
+    }
+
+    void set_store(store_mode mode, milliseconds end)
+    {
+        fleet_.store().set_mode(mode);
+        later(end, [this] { fleet_.store().set_mode(store_mode::up); });
+    }
+
+    void replace(std::size_t engine, milliseconds end)
+    {
+        // The address serves another start; the old entry stays for a while.
+        fleet_.engine(engine).restart_as("reborn-" + std::to_string(engine));
+        later(end,
+              [this, engine] {
+                  fleet_.engine(engine).restart_as("engine-" +
+                                                   std::to_string(engine));
+              });
+    }
+
+    void drain(std::size_t engine, milliseconds at)
+    {
+        if (!drained_.insert(engine).second || drained_.size() > 2)
+            return;
+        fleet_.list_engine(engine, "draining");
+        if (script_.planned_only)
+            drained_at_[engine] = clock::now();
+        later(at + 2 * drain_bound,
+              [this, engine] { fleet_.unlist_engine(engine); });
+    }
+
+    void disturb(std::size_t instance, milliseconds until)
+    {
+        disturbances_.push_back({instance, clock::now(), begin_ + until});
+    }
+
+    void kill_instance(std::size_t i, milliseconds end)
+    {
+        if (states_[i] != state::up)
+            return;
+        states_[i] = state::down;
+        load_.set_in_rotation(i, false);
+        disturb(i, end + settle);
+        fleet_.kill(fleet_.at(i));
+        later(end, [this, i] { start(i); });
+    }
+
+    void freeze(std::size_t i, milliseconds end)
+    {
+        if (states_[i] != state::up)
+            return;
+        states_[i] = state::frozen;
+        disturb(i, end + settle);
+        ::kill(fleet_.at(i).pid, SIGSTOP);
+        later(end,
+              [this, i]
+              {
+                  ::kill(fleet_.at(i).pid, SIGCONT);
+                  states_[i] = state::up;
+              });
+    }
+
+    void reload(std::size_t i)
+    {
+        if (states_[i] != state::up)
+            return;
+        const std::string text = fleet_.settings_of(fleet_.at(i));
+        fleet_.write_settings(fleet_.at(i), text + "# changed\n");
+        ::kill(fleet_.at(i).pid, SIGHUP);
+    }
+
+    void terminate(std::size_t i, milliseconds at)
+    {
+        // Others must be left to take new connections.
+        std::size_t up = 0;
+        for (const state each : states_)
+            up += each == state::up ? 1 : 0;
+        if (states_[i] != state::up || up < 2)
+            return;
+        states_[i] = state::leaving;
+        ::kill(fleet_.at(i).pid, SIGTERM);
+        // The balancer learns of it from the second question on.
+        later(at + milliseconds(200),
+              [this, i] { load_.set_in_rotation(i, false); });
+        wait_for_end(i, at, at + longest_shutdown);
+    }
+
+    void wait_for_end(std::size_t i, milliseconds at, milliseconds limit)
+    {
+        static constexpr milliseconds step{100};
+        int status = 0;
+        if (waitpid(fleet_.at(i).pid, &status, WNOHANG) == fleet_.at(i).pid)
+        {
+            if (!WIFEXITED(status) || WEXITSTATUS(status) != 0)
+                broke("instance " + std::to_string(i) + " ended with " +
+                      std::to_string(status));
+            fleet_.at(i).pid = -1;
+            later(at + step, [this, i] { start(i); });
+            return;
+        }
+        if (at >= limit)
+        {
+            broke("instance " + std::to_string(i) + " had not ended after " +
+                  std::to_string(longest_shutdown.count()) + " ms");
+            fleet_.kill(fleet_.at(i));
+            later(at + step, [this, i] { start(i); });
+            return;
+        }
+        later(at + step,
+              [this, i, at, limit] { wait_for_end(i, at + step, limit); });
+    }
+
+    void start(std::size_t i)
+    {
+        fleet_.start(fleet_.at(i));
+        states_[i] = state::up;
+        wait_until_ready(i);
+    }
+
+    void wait_until_ready(std::size_t i)
+    {
+        static constexpr milliseconds step{200};
+        if (states_[i] != state::up)
+            return;
+        if (fleet_.ready(fleet_.at(i)))
+            return load_.set_in_rotation(i, true);
+        const auto at =
+            std::chrono::duration_cast<milliseconds>(clock::now() - begin_);
+        later(at + step, [this, i] { wait_until_ready(i); });
+    }
+
+    void check_processes()
+    {
+        for (std::size_t i = 0; i < plan_.instances; ++i)
+        {
+            int status = 0;
+            if (waitpid(fleet_.at(i).pid, &status, WNOHANG) == 0)
+                continue;
+            broke("instance " + std::to_string(i) +
+                  " ended by itself: " + std::to_string(status));
+            fleet_.at(i).pid = -1;
+        }
+    }
+
+    void check_recovery()
+    {
+        static constexpr int asked = 6;
+        for (std::size_t i = 0; i < plan_.instances; ++i)
+        {
+            int served = 0;
+            std::string statuses;
+            for (int n = 0; n < asked; ++n)
+                served +=
+                    serves(i, n % 2 == 0 ? "/plan/x" : "/look/x", statuses) ? 1
+                                                                            : 0;
+            if (served < asked)
+                broke("instance " + std::to_string(i) + " served " +
+                      std::to_string(served) + " of " + std::to_string(asked) +
+                      " after the last action:" + statuses);
+        }
+    }
+
+    /// Asks as a patient caller does: once more after a refusal or an error.
+    bool serves(std::size_t instance, const char* path, std::string& statuses)
+    {
+        static constexpr int tries = 3;
+        static constexpr milliseconds pause{300};
+        for (int n = 0; n < tries; ++n)
+        {
+            direct_call call = fleet_.make_call(instance, path);
+            call.id = "r" + call.id;
+            const direct_answer got = ask(call);
+            if (got.status == 200)
+                return true;
+            statuses += ' ' + std::to_string(got.status) + ' ' + got.body;
+            std::this_thread::sleep_for(pause);
+        }
+        return false;
+    }
+
+    [[nodiscard]] bool disturbed(const record& which) const
+    {
+        for (const disturbance& each : disturbances_)
+        {
+            if (each.instance == which.instance && each.from <= which.end &&
+                each.to >= which.start)
+                return true;
+        }
+        return false;
+    }
+
+    void check(const std::vector<record>& records)
+    {
+        for (const record& each : records)
+        {
+            ++result_.requests;
+            result_.served += each.got.status == 200 && each.got.whole ? 1 : 0;
+            result_.refused += each.got.status == 503 ? 1 : 0;
+            check_answer(each);
+            check_runs(each);
+            check_time(each);
+            if (script_.planned_only)
+                check_planned(each);
+        }
+        check_endpoints();
+    }
+
+    void broke(const record& which, const std::string& what)
+    {
+        broke(what + ": " + which.call.id + ' ' + which.call.path +
+              " through " + std::to_string(which.instance) + ", status " +
+              std::to_string(which.got.status) +
+              (which.got.whole ? " whole" : " cut") + ", runs " +
+              std::to_string(fleet_.runs_of(which.call.id)) + ", began at " +
+              std::to_string(
+                  std::chrono::duration_cast<milliseconds>(which.start - begin_)
+                      .count()) +
+              " ms, took " +
+              std::to_string(std::chrono::duration_cast<milliseconds>(
+                                 which.end - which.start)
+                                 .count()) +
+              " ms");
+    }
+
+    void check_answer(const record& which)
+    {
+        static const std::set<unsigned> allowed{0, 200, 500, 502, 503, 504};
+        if (!allowed.contains(which.got.status))
+            broke(which, "a proper request was denied");
+        if (which.got.status != 200)
+            return;
+        const std::string own =
+            facts_of(which.call.path).streamed
+                ? stream_body(which.call.id, fleet_plan(plan_).events, 0)
+                : "answer to " + which.call.id;
+        if (which.got.whole && which.got.body != own)
+            broke(which, "an answer that looks whole is not the own one");
+        if (!which.got.whole && !own.starts_with(which.got.body))
+            broke(which, "a cut answer holds foreign bytes");
+    }
+
+    void check_runs(const record& which)
+    {
+        const int runs = fleet_.runs_of(which.call.id);
+        if (runs > facts_of(which.call.path).most_runs)
+            broke(which, "run too often");
+        if (which.got.status == 503 && runs > 0)
+            broke(which, "a refusal is not true");
+    }
+
+    void check_time(const record& which)
+    {
+        if (disturbed(which))
+            return;
+        const milliseconds limit =
+            facts_of(which.call.path).timeout + answer_slack;
+        if (which.end - which.start > limit)
+            broke(which, "no final answer in time");
+        // A connection that was idle may close as the next request comes.
+        const bool crossed = which.reused && fleet_.runs_of(which.call.id) == 0;
+        if (which.got.status == 0 && !crossed)
+            broke(which, "closed without an answer");
+    }
+
+    void check_planned(const record& which)
+    {
+        const bool crossed = which.got.status == 0 && which.reused &&
+                             fleet_.runs_of(which.call.id) == 0;
+        const bool refused = which.got.status == 503;
+        if (!crossed && !refused &&
+            !(which.got.status == 200 && which.got.whole))
+            broke(which, "planned work failed a request");
+    }
+
+    void check_endpoints()
+    {
+        for (std::size_t i = 0; i < engine_count + plain_count; ++i)
+        {
+            const direct_engine& engine = i < engine_count
+                                              ? fleet_.engine(i)
+                                              : fleet_.plain(i - engine_count);
+            for (const engine_run& run : engine.runs())
+            {
+                if (run.account != "north" || run.had_api_key)
+                    broke("run " + run.attempt_id + " has account '" +
+                          run.account + "'");
+                const auto drained = drained_at_.find(i);
+                if (drained != drained_at_.end() &&
+                    run.at > drained->second + drain_bound)
+                    broke("run " + run.attempt_id +
+                          " reached an engine that had left");
+            }
+        }
+    }
+
+    void keep_logs()
+    {
+        if (plan_.keep_logs.empty())
+            return;
+        const std::string folder =
+            plan_.keep_logs + "/seed-" + std::to_string(plan_.seed);
+        std::filesystem::create_directories(folder);
+        for (std::size_t i = 0; i < plan_.instances; ++i)
+            std::ofstream(folder + "/edge-" + std::to_string(i) + ".log")
+                << fleet_.log_of(fleet_.at(i));
+    }
+
+    round_plan plan_;
+    script script_;
+    direct_fleet fleet_;
+    std::vector<state> states_;
+    callers load_;
+    clock::time_point begin_;
+    std::multimap<milliseconds, std::function<void()>> due_;
+    std::vector<disturbance> disturbances_;
+    std::set<std::size_t> drained_;
+    std::map<std::size_t, clock::time_point> drained_at_;
+    std::uint64_t version_ = 1;
+    round_result result_;
+};
+
+} // namespace
+
+round_result play(const round_plan& plan)
+{
+    return round_of_soak(plan).play();
+}
+
+} // namespace soak
--- a/test/standins/direct_engine.cpp
+++ b/test/standins/direct_engine.cpp
@@ -186,6 +186,7 @@
         full.set("Not-Executed", "1");
         co_return co_await write(stream, std::move(full), asked);
     }
+    run.at = std::chrono::steady_clock::now();
     {
         const std::lock_guard lock(mutex_);
         runs_.push_back(run);
--- a/test/standins/direct_engine.hpp
+++ b/test/standins/direct_engine.hpp
@@ -42,6 +42,7 @@
     long time_left_ms = 0;
     long last_event = 0;
     bool had_api_key = false;
+    std::chrono::steady_clock::time_point at;
 };
 
 class direct_engine
--- a/test/standins/direct_fleet.cpp
+++ b/test/standins/direct_fleet.cpp
@@ -19,11 +19,11 @@
 
 constexpr std::chrono::seconds ready_limit{15};
 
-std::string entry(const direct_engine& engine, const char* service,
+std::string entry(const std::string& address, const char* service,
                   const char* state)
 {
     return std::string(R"({"service":")") + service + R"(","address":")" +
-           engine.address() + R"(","zone":"a","slots":8,"state":")" + state +
+           address + R"(","zone":"a","slots":8,"state":")" + state +
            R"(","seq":1})";
 }
 
@@ -61,20 +61,27 @@
                              : std::chrono::milliseconds(20000));
     auto [unconnected] =
         co_await stream.async_connect(endpoint_of(what.to), as_result);
-    if (unconnected)
-        co_return;
+    if (!unconnected)
+        co_await ask_over(stream, what, got);
+}
+
+} // namespace
+
+asio::awaitable<bool> ask_over(beast::tcp_stream& stream, direct_call what,
+                               direct_answer& got)
+{
     const std::string message = message_of(what);
     auto [unsent, sent] =
         co_await asio::async_write(stream, asio::buffer(message), as_result);
     if (unsent)
-        co_return;
+        co_return false;
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(boost::none);
     auto [failed, received] =
         co_await http::async_read(stream, buffer, parser, as_result);
     if (!parser.is_header_done())
-        co_return;
+        co_return false;
     const auto& answer = parser.get();
     got.status = answer.result_int();
     got.whole = !failed && parser.is_done() && !parser.need_eof();
@@ -82,10 +89,9 @@
     got.seal = std::string(answer["Server-Seal"]);
     got.retry_after = std::string(answer["Retry-After"]);
     got.closes = !parser.keep_alive();
+    co_return got.whole && !got.closes && buffer.size() == 0;
 }
 
-} // namespace
-
 direct_answer ask(const direct_call& what)
 {
     direct_answer got;
@@ -112,14 +118,16 @@
         engines_.push_back(std::make_unique<direct_engine>(
             "127.0.0.1:0", "engine-" + std::to_string(i), plan_.events,
             plan_.gap));
+        add_route(engines_.back()->address());
         list_engine(i);
     }
     for (std::size_t i = 0; i < plan_.plain; ++i)
     {
         plain_.push_back(std::make_unique<direct_engine>(
             "127.0.0.1:0", "plain-" + std::to_string(i), 0, plan_.gap));
+        add_route(plain_.back()->address());
         store_->put("servers/plain-" + std::to_string(i),
-                    entry(*plain_.back(), "desk", "ready"));
+                    entry(route_of(*plain_.back()), "desk", "ready"));
     }
     for (std::size_t i = 0; i < plan_.instances; ++i)
     {
@@ -129,6 +137,9 @@
             directory_ + "/edge-" + std::to_string(i) + ".yaml";
         made.log_file = directory_ + "/edge-" + std::to_string(i) + ".log";
         std::filesystem::remove(made.log_file);
+        made.store_address =
+            plan_.proxied ? proxy_.forward("127.0.0.1:0", store_->address())
+                          : store_->address();
         if (plan_.unread_logs)
             mkfifo(made.log_file.c_str(), 0600);
         instances_.push_back(made);
@@ -151,6 +162,17 @@
     std::filesystem::remove_all(directory_);
 }
 
+void direct_fleet::add_route(const std::string& address)
+{
+    routes_[address] =
+        plan_.proxied ? proxy_.forward("127.0.0.1:0", address) : address;
+}
+
+std::string direct_fleet::route_of(const direct_engine& which) const
+{
+    return routes_.at(which.address());
+}
+
 void direct_fleet::start(direct_instance& which)
 {
     std::ofstream out(which.settings_file);
@@ -159,7 +181,7 @@
         << "\nready_address: " << which.ready_address()
         << "\npeer_address: " << which.peer_address()
         << "\nmetrics_address: " << which.metrics_address()
-        << "\nfleet_key: a-key-for-tests-only\nstore: " << store_->address()
+        << "\nfleet_key: a-key-for-tests-only\nstore: " << which.store_address
         << "\nseeds: ['" << instances_.front().peer_address()
         << "']\nretry_slack: 100\nlinger_ms: 500\nshutdown_ms: 5000\n";
     out.close();
@@ -202,7 +224,8 @@
 void direct_fleet::list_engine(std::size_t index, const char* state)
 {
     const direct_engine& which = *engines_.at(index);
-    store_->put("servers/" + which.boot(), entry(which, "planner", state));
+    store_->put("servers/" + which.boot(),
+                entry(route_of(which), "planner", state));
 }
 
 void direct_fleet::unlist_engine(std::size_t index)
--- a/test/standins/direct_fleet.hpp
+++ b/test/standins/direct_fleet.hpp
@@ -5,6 +5,7 @@
 #include "direct_engine.hpp"
 #include "direct_store.hpp"
 #include "process.hpp"
+#include "proxy.hpp"
 
 #include <memory>
 #include <optional>
@@ -18,6 +19,8 @@
     std::string ip;
     std::string settings_file;
     std::string log_file;
+    /// Where it finds the store.
+    std::string store_address;
     pid_t pid = -1;
 
     [[nodiscard]] std::string caller_address() const { return ip + ":8080"; }
@@ -37,6 +40,8 @@
     bool store_down = false;
     /// Standard output goes to a pipe that nobody reads.
     bool unread_logs = false;
+    /// Instances reach endpoints and the store through the proxy.
+    bool proxied = false;
 };
 
 /// A caller's request in the platform's dialect.
@@ -79,6 +84,9 @@
     direct_engine& engine(std::size_t index) { return *engines_.at(index); }
     direct_engine& plain(std::size_t index) { return *plain_.at(index); }
     direct_instance& at(std::size_t index) { return instances_.at(index); }
+    proxy& faults() { return proxy_; }
+    /// Route of the proxy to an endpoint, as the store lists it.
+    [[nodiscard]] std::string route_of(const direct_engine& which) const;
 
     void start(direct_instance& which);
     /// Ends a process with SIGKILL and waits for it.
@@ -102,12 +110,17 @@
     void write_settings(const direct_instance& which, const std::string& text);
 
   private:
+    void add_route(const std::string& address);
+
     direct_plan plan_;
     std::string directory_;
     std::unique_ptr<direct_store> store_;
     std::vector<std::unique_ptr<direct_engine>> engines_;
     std::vector<std::unique_ptr<direct_engine>> plain_;
+    /// Routes of the proxy by the address that they lead to.
+    std::map<std::string, std::string> routes_;
     std::vector<direct_instance> instances_;
+    proxy proxy_;
     int next_id_ = 0;
     /// Read end of the pipe for unread logs, kept open.
     int unread_pipe_ = -1;
@@ -115,4 +128,8 @@
 
 direct_answer ask(const direct_call& what);
 
+/// Asks over an open connection, which may be used again if the result is true.
+asio::awaitable<bool> ask_over(beast::tcp_stream& stream, direct_call what,
+                               direct_answer& got);
+
 } // namespace standin
