--- a/packages/adapters/lib/nng_link.cpp
+++ b/packages/adapters/lib/nng_link.cpp
@@ -7,6 +7,7 @@
 #include <nng/protocol/pipeline0/push.h>
 
 #include <stdexcept>
+#include <thread>
 
 namespace sycamorelock::adapters
 {
@@ -20,6 +21,16 @@
 constexpr nng_duration reconnect_least = 100;
 constexpr nng_duration reconnect_most = 1000;
 
+/// Closes a socket without waiting for it. In nng 1.5 the close of a socket to
+/// which a connection is being set up may never return, and with it hung the
+/// end of an instance, or its control thread.
+/// \param kept what callbacks of the socket use until it is closed.
+void close_in_background(nng_socket socket, std::shared_ptr<void> kept)
+{
+    std::thread([socket, kept = std::move(kept)] { nng_close(socket); })
+        .detach();
+}
+
 void check(int status, const std::string& what)
 {
     if (status != 0)
@@ -31,8 +42,10 @@
 push_link::push_link(const std::string& from, const std::string& to)
 {
     check(nng_push0_open(&socket_), "push socket");
-    nng_pipe_notify(socket_, NNG_PIPE_EV_ADD_POST, &push_link::on_pipe, this);
-    nng_pipe_notify(socket_, NNG_PIPE_EV_REM_POST, &push_link::on_pipe, this);
+    nng_pipe_notify(socket_, NNG_PIPE_EV_ADD_POST, &push_link::on_pipe,
+                    shared_.get());
+    nng_pipe_notify(socket_, NNG_PIPE_EV_REM_POST, &push_link::on_pipe,
+                    shared_.get());
     nng_socket_set_int(socket_, NNG_OPT_SENDBUF, send_queue);
     nng_socket_set_bool(socket_, NNG_OPT_TCP_KEEPALIVE, true);
     nng_socket_set_ms(socket_, NNG_OPT_RECONNMINT, reconnect_least);
@@ -44,7 +57,16 @@
 
 push_link::~push_link()
 {
-    nng_close(socket_);
+    close_in_background(socket_, shared_);
+}
+
+void push_link::redial()
+{
+    const std::uint32_t id = shared_->pipe.exchange(0);
+    nng_pipe pipe = NNG_PIPE_INITIALIZER;
+    pipe.id = id;
+    if (id != 0)
+        nng_pipe_close(pipe);
 }
 
 bool push_link::send(const std::string& bytes)
@@ -59,11 +81,12 @@
     return false;
 }
 
-void push_link::on_pipe(nng_pipe, nng_pipe_ev event, void* self)
+void push_link::on_pipe(nng_pipe pipe, nng_pipe_ev event, void* shared)
 {
-    auto& link = *static_cast<push_link*>(self);
-    link.state_ =
-        event == NNG_PIPE_EV_ADD_POST ? state::connected : state::lost;
+    auto& link = *static_cast<shared_state*>(shared);
+    const bool added = event == NNG_PIPE_EV_ADD_POST;
+    link.pipe = added ? pipe.id : 0;
+    link.now = added ? state::connected : state::lost;
 }
 
 pull_inbox::pull_inbox(const std::string& at, receiver on_bytes)
@@ -80,9 +103,9 @@
 
 pull_inbox::~pull_inbox()
 {
-    nng_close(socket_);
     nng_aio_stop(aio_);
     nng_aio_free(aio_);
+    close_in_background(socket_, nullptr);
 }
 
 void pull_inbox::on_receive(void* self)
--- a/packages/adapters/lib/nng_link.hpp
+++ b/packages/adapters/lib/nng_link.hpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace sycamorelock::adapters
@@ -26,7 +27,10 @@
     bool send(const std::string& bytes);
 
     /// The connection stood once and does not now.
-    [[nodiscard]] bool lost() const { return state_ == state::lost; }
+    [[nodiscard]] bool lost() const { return shared_->now == state::lost; }
+
+    /// Drops the connection, if there is one, and connects again.
+    void redial();
 
   private:
     enum class state
@@ -37,10 +41,16 @@
     };
 
     /// Called on an nng thread.
-    static void on_pipe(nng_pipe pipe, nng_pipe_ev event, void* self);
+    static void on_pipe(nng_pipe pipe, nng_pipe_ev event, void* shared);
 
     nng_socket socket_{};
-    std::atomic<state> state_{state::new_link};
+    /// What callbacks use; outlives the link until the socket is closed.
+    struct shared_state
+    {
+        std::atomic<state> now{state::new_link};
+        std::atomic<std::uint32_t> pipe{0};
+    };
+    std::shared_ptr<shared_state> shared_ = std::make_shared<shared_state>();
 };
 
 /// A pull socket that hands over what arrives.
