Callers' connections are bounded by the process's descriptors; a failed accept waits

Kept, since the bound was missing: an instance whose callers leave connections open ran out of descriptors and then span in accept. Answers end their connection from 0.45 of max_descriptors on, beyond 0.6 those that rest are closed. Tested with 300 connections left open; without it they all stay.

--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -74,6 +74,7 @@
     store_followed = 3305,
     lines_dropped = 3401,
     lines_left_out = 3402,
+    accept_failed = 3403,
     settings_reloaded = 3501,
     settings_refused = 3502,
 };
--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -22,9 +22,10 @@
 /// Least time between two copies of the configuration to one instance; the
 /// first is in force before then.
 constexpr core::duration help_again_after = milliseconds(300);
-/// A link that was not used for this time is closed; a large fleet's instance
-/// talks to each of the others only now and then.
-constexpr core::duration idle_link = std::chrono::seconds(5);
+/// A link that was not used for this time is closed: its instance is gone.
+/// Those of a large fleet talk to each other only now and then, but closing and
+/// opening links costs more than keeping some hundred of them.
+constexpr core::duration idle_link = std::chrono::seconds(60);
 /// Stands for all other instances in what the router is told.
 constexpr const char* rest_sender = "rest";
 
@@ -59,8 +60,12 @@
                       { return at - entry.second.at > idle_link; });
     }
 
-    /// Closes a link; the next message dials anew.
-    void drop(const std::string& to) { open_.erase(to); }
+    void redial(const std::string& to)
+    {
+        const auto found = open_.find(to);
+        if (found != open_.end() && found->second.socket)
+            found->second.socket->redial();
+    }
 
   private:
     struct used
@@ -195,7 +200,7 @@
     for (const std::string& stale : peers_.stale_links(at))
     {
         log_.write(direct_event::link_renewed, {{"peer", stale}});
-        links_->drop(stale);
+        links_->redial(stale);
     }
     links_->close_idle(at);
     const std::size_t live = peers_.live(at);
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -68,6 +68,12 @@
     ended_(this);
 }
 
+void request_session::close_if_idle_since(core::time_point latest)
+{
+    if (idle_since_ <= latest)
+        close_if_idle();
+}
+
 void request_session::close_if_idle()
 {
     if (busy_)
@@ -83,6 +89,7 @@
         config ? config->limits : first_limits;
     if (buffer_.size() == 0)
     {
+        idle_since_ = now();
         context_.limits.set(limit_, now() + limits.idle_timeout,
                             [this] { close_if_idle(); });
         auto [error, bytes] = co_await socket_.async_read_some(
@@ -178,7 +185,8 @@
 {
     open_request request;
     request.message = std::move(message);
-    keep_ = request.message.keep_alive() && !context_.leaving;
+    keep_ =
+        request.message.keep_alive() && !context_.leaving && !context_.crowded;
     out_.keep(keep_);
     request.profile.arrived = now();
     stop_ = stop::none;
--- a/packages/adapters/lib/direct/request_session.hpp
+++ b/packages/adapters/lib/direct/request_session.hpp
@@ -19,6 +19,8 @@
 
     /// Closes the connection if it is between two requests.
     void close_if_idle();
+    /// The same if no request has come since a moment.
+    void close_if_idle_since(core::time_point latest);
 
   private:
     using parser = http::request_parser<http::string_body>;
@@ -79,6 +81,7 @@
     bool watching_ = false;
     bool timed_out_ = false;
     bool busy_ = false;
+    core::time_point idle_since_ = core::time_point::max();
     bool keep_ = true;
 };
 
--- a/packages/adapters/lib/direct/traffic_context.hpp
+++ b/packages/adapters/lib/direct/traffic_context.hpp
@@ -24,6 +24,8 @@
     const dialect_table& dialect;
     /// A graceful shutdown has begun: answers end their connection.
     const bool& leaving;
+    /// So many callers are connected that answers end their connection.
+    const bool& crowded;
 };
 
 } // namespace sycamorelock::adapters::direct
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -25,6 +25,17 @@
 constexpr core::duration report_period = milliseconds(100);
 constexpr core::duration sweep_period = milliseconds(200);
 constexpr int accept_backlog = 1024;
+/// Parts of the descriptors that callers' connections may take: from the first
+/// on, answers end their connection; beyond the second, connections that rest
+/// are closed. The others are for endpoints, instances, the store and files.
+/// An instance through which one account sent 1,000 requests a second, each
+/// refused over a connection that then rested, accepted none for 8 s.
+constexpr double crowded_part = 0.45;
+constexpr double full_part = 0.6;
+/// A connection that rested this long is closed first.
+constexpr core::duration resting = milliseconds(300);
+/// Pause after an accept that failed, as descriptors are short.
+constexpr milliseconds accept_pause{20};
 
 } // namespace
 
@@ -37,9 +48,11 @@
         : io_(io), address_(parse_address(settings.caller_address)),
           dialect_(dialect), on_report_(std::move(on_report)),
           router_(router_options_of(settings, seed)),
-          context_{io_,      router_, channels_, limits_,
-                   metrics_, log,     dialect_,  leaving_},
-          acceptor_(io_), timer_(io_)
+          context_{io_, router_,  channels_, limits_, metrics_,
+                   log, dialect_, leaving_,  crowded_},
+          acceptor_(io_), timer_(io_), accept_timer_(io_),
+          crowded_at_(part_of(settings.max_descriptors, crowded_part)),
+          full_at_(part_of(settings.max_descriptors, full_part))
     {
     }
 
@@ -110,18 +123,51 @@
             {
                 if (!self->acceptor_.is_open())
                     return;
-                if (!error)
-                    self->open(std::move(socket));
+                if (error)
+                {
+                    self->accept_later(error);
+                    return;
+                }
+                self->open(std::move(socket));
                 self->accept();
             });
     }
 
+    void accept_later(error_code why)
+    {
+        context_.log.write(direct_event::accept_failed,
+                           {{"error", why.message()},
+                            {"connections", std::to_string(sessions_.size())}});
+        close_resting();
+        accept_timer_.expires_after(accept_pause);
+        accept_timer_.async_wait(
+            [self = shared_from_this()](error_code error)
+            {
+                if (!error && self->acceptor_.is_open())
+                    self->accept();
+            });
+    }
+
+    void close_resting()
+    {
+        // Closing ends sessions, which leave the set, but not at once.
+        for (request_session* session : sessions_)
+            session->close_if_idle_since(now() - resting);
+    }
+
+    static std::size_t part_of(std::size_t descriptors, double part)
+    {
+        return static_cast<std::size_t>(static_cast<double>(descriptors) *
+                                        part);
+    }
+
     void open(tcp::socket socket)
     {
         auto session = std::make_shared<request_session>(
             std::move(socket), context_,
             [this](request_session* ended) { sessions_.erase(ended); });
         sessions_.insert(session.get());
+        crowded_ = sessions_.size() > crowded_at_;
         asio::co_spawn(
             io_, [session] { return session->run(); }, asio::detached);
     }
@@ -143,6 +189,9 @@
     {
         const core::time_point at = now();
         limits_.tick(at);
+        crowded_ = sessions_.size() > crowded_at_;
+        if (sessions_.size() > full_at_)
+            close_resting();
         if (at >= next_report_)
         {
             next_report_ = at + report_period;
@@ -175,9 +224,13 @@
     watchdog limits_;
     direct_metrics metrics_;
     bool leaving_ = false;
+    bool crowded_ = false;
     traffic_context context_;
     tcp::acceptor acceptor_;
     asio::steady_timer timer_;
+    asio::steady_timer accept_timer_;
+    std::size_t crowded_at_;
+    std::size_t full_at_;
     std::unordered_set<request_session*> sessions_;
     std::function<void()> on_idle_;
     core::time_point next_report_;
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -141,6 +141,9 @@
     event_kind{3402, info, "lines_left_out",
                "More lines of one kind came in a second than are written; the "
                "counters have them all."},
+    event_kind{3403, warn, "accept_failed",
+               "A connection could not be accepted; those that rest are "
+               "closed."},
     event_kind{3501, info, "settings_reloaded",
                "The settings file was read again and is in force."},
     event_kind{3502, warn, "settings_refused",
--- a/packages/settings/include/sycamorelock/settings/direct_settings.hpp
+++ b/packages/settings/include/sycamorelock/settings/direct_settings.hpp
@@ -32,6 +32,8 @@
     std::chrono::milliseconds linger{0};
     /// Time from SIGTERM to the end, including `linger`.
     std::chrono::milliseconds shutdown{0};
+    /// Descriptors that the process may have open.
+    std::size_t max_descriptors = 0;
     std::string log_level;
 };
 
--- a/packages/settings/lib/schema.cpp
+++ b/packages/settings/lib/schema.cpp
@@ -98,6 +98,9 @@
           "milliseconds."},
     field{"shutdown_ms", integer, false, 100, 3600000, "8000", "",
           "Longest graceful shutdown, `linger_ms` included, in milliseconds."},
+    field{"max_descriptors", integer, false, 100, 10000000, "4096", "",
+          "Descriptors that the process may have open; six in ten are for "
+          "callers."},
     field{"log_level", choice, false, 0, 0, "info", "debug|info|warn|error",
           "Least level that is logged."},
 };
--- a/packages/settings/unittests/direct_settings_test.cpp
+++ b/packages/settings/unittests/direct_settings_test.cpp
@@ -43,6 +43,7 @@
     cr_expect_eq(read.seeds.size(), 1U);
     cr_expect_eq(read.linger.count(), 3000);
     cr_expect_float_eq(read.retry_ratio, 0.2, 1e-9);
+    cr_expect_eq(read.max_descriptors, 4096U);
 }
 
 Test(direct_settings, all_findings_come_together_with_their_place)
--- a/test/integration/direct_test.cpp
+++ b/test/integration/direct_test.cpp
@@ -5,6 +5,8 @@
 #include <criterion/criterion.h>
 
 #include <csignal>
+#include <cstdlib>
+#include <memory>
 #include <thread>
 
 using namespace standin;
@@ -21,6 +23,38 @@
     cr_expect(got.body == stream_body(asked.id, events, 0));
 }
 
+/// Connections that callers leave open.
+struct many_connections
+{
+    std::vector<std::unique_ptr<beast::tcp_stream>> streams;
+    /// Answers that end their connection.
+    int closing = 0;
+};
+
+/// Opens 300 connections; half of them ask once, half say nothing at all.
+asio::awaitable<void> open_many(direct_fleet& fleet, many_connections& held)
+{
+    static constexpr int count = 300;
+    const auto executor = co_await asio::this_coro::executor;
+    for (int i = 0; i < count; ++i)
+    {
+        held.streams.push_back(std::make_unique<beast::tcp_stream>(executor));
+        beast::tcp_stream& stream = *held.streams.back();
+        stream.expires_after(std::chrono::seconds(10));
+        direct_call asked = fleet.make_call(0, "/open/1");
+        asked.method = "GET";
+        const tcp::endpoint to = endpoint_of(asked.to);
+        auto [error] = co_await stream.async_connect(to, as_result);
+        cr_expect_not(error);
+        if (i % 2 == 0)
+            continue;
+        direct_answer got;
+        co_await ask_over(stream, asked, got);
+        cr_expect_eq(got.status, 200U, "%d: %u", i, got.status);
+        held.closing += got.closes ? 1 : 0;
+    }
+}
+
 } // namespace
 
 Test(direct, requests_of_every_kind_are_served_and_translated)
@@ -513,6 +547,41 @@
     cr_expect(eventually(drained, milliseconds(2000)));
 }
 
+// An instance without descriptors takes no caller, but says that it is ready.
+Test(direct, callers_that_rest_leave_room_for_new_ones)
+{
+    direct_plan plan;
+    plan.instances = 1;
+    // Answers end their connection from 90 on; beyond 120 those that rest are
+    // closed.
+    plan.extra = "max_descriptors: 200\n";
+    direct_fleet fleet(plan);
+    const auto connections = [&]
+    {
+        const std::string text =
+            fleet.page(fleet.at(0).metrics_address(), "/metrics");
+        const std::string name = "\nsycamorelock_caller_connections ";
+        return std::strtol(text.c_str() + text.find(name) + name.size(),
+                           nullptr, 10);
+    };
+    asio::io_context io{1};
+    many_connections held;
+    asio::co_spawn(io, open_many(fleet, held), asio::detached);
+    io.run();
+    cr_expect_gt(held.closing, 50);
+    const auto bounded = [&]
+    {
+        const long now = connections();
+        return now > 0 && now <= 125;
+    };
+    cr_expect(eventually(bounded, std::chrono::seconds(2)), "%ld",
+              connections());
+    const direct_call last = fleet.make_call(0, "/look/1");
+    const direct_answer got = ask(last);
+    cr_expect_eq(got.status, 200U);
+    cr_expect_lt(got.seconds, 1.0);
+}
+
 // On-call engineers read both times off one line.
 Test(direct, the_end_of_a_request_tells_its_times)
 {
--- a/test/standins/direct_fleet.cpp
+++ b/test/standins/direct_fleet.cpp
@@ -183,7 +183,8 @@
         << "\nmetrics_address: " << which.metrics_address()
         << "\nfleet_key: a-key-for-tests-only\nstore: " << which.store_address
         << "\nseeds: ['" << instances_.front().peer_address()
-        << "']\nretry_slack: 100\nlinger_ms: 500\nshutdown_ms: 5000\n";
+        << "']\nretry_slack: 100\nlinger_ms: 500\nshutdown_ms: 5000\n"
+        << plan_.extra;
     out.close();
     which.pid = start_daemon(which.settings_file, which.log_file);
 }
--- a/test/standins/direct_fleet.hpp
+++ b/test/standins/direct_fleet.hpp
@@ -40,6 +40,8 @@
     bool store_down = false;
     /// Standard output goes to a pipe that nobody reads.
     bool unread_logs = false;
+    /// Further lines of the settings files.
+    std::string extra{};
     /// Instances reach endpoints and the store through the proxy.
     bool proxied = false;
 };
