Connections are accepted in batches, and an overloaded instance says that it is not ready

One accept a turn of the event loop, behind hundreds of busy connections, out of a queue of 1,024: what it took had given up after its second. Now: 64 accepts a turn, a queue of 256, and readiness is off while the event loop is late by 250 ms on average or hangs.

--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
@@ -41,6 +41,8 @@
     void install(std::shared_ptr<const core::direct::catalogue> newer);
     void
     set_endpoints(std::map<std::string, core::direct::endpoint_record> all);
+    /// Whether requests wait long before they are read, or for ever.
+    [[nodiscard]] bool late() const;
     void on_report(core::direct::exchange_report report);
     void on_notes(std::vector<core::direct::cache_note> notes);
     void forget_instance(core::instance_id gone);
--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -75,6 +75,7 @@
     lines_dropped = 3401,
     lines_left_out = 3402,
     accept_failed = 3403,
+    traffic_late = 3404,
     settings_reloaded = 3501,
     settings_refused = 3502,
 };
--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -432,7 +432,8 @@
 
 bool control_plane::ready() const
 {
-    return version_ > 0 && !registry_.all().empty() && !leaving_;
+    return version_ > 0 && !registry_.all().empty() && !leaving_ &&
+           !traffic_.late();
 }
 
 void control_plane::update_ready()
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -6,6 +6,7 @@
 #include "../prometheus_text.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
+#include "sycamorelock/core/direct/tick_delay.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -24,7 +25,13 @@
 /// engine, so about one is placed in ignorance of another.
 constexpr core::duration report_period = milliseconds(100);
 constexpr core::duration sweep_period = milliseconds(200);
-constexpr int accept_backlog = 1024;
+/// Connections that wait to be accepted. Callers wait a second for one; a
+/// longer queue holds those that have already given up.
+constexpr int accept_backlog = 256;
+/// Connections accepted in one turn of the event loop. With one a turn, an
+/// instance with hundreds of busy connections took a few new ones a second,
+/// all of which had given up by then.
+constexpr int accepts_a_turn = 64;
 /// Parts of the descriptors that callers' connections may take: from the first
 /// on, answers end their connection; beyond the second, connections that rest
 /// are closed. The others are for endpoints, instances, the store and files.
@@ -62,6 +69,7 @@
         acceptor_.set_option(tcp::acceptor::reuse_address(true));
         acceptor_.bind(address_);
         acceptor_.listen(accept_backlog);
+        acceptor_.non_blocking(true);
         accept();
         timer_.expires_after(tick_period);
         wait_for_tick();
@@ -98,6 +106,9 @@
         router_.on_report(now(), report);
     }
 
+    /// Any thread.
+    [[nodiscard]] bool late() const { return delay_.late(now()); }
+
     void on_notes(const std::vector<core::direct::cache_note>& notes)
     {
         router_.on_notes(now(), notes);
@@ -129,10 +140,24 @@
                     return;
                 }
                 self->open(std::move(socket));
+                self->accept_waiting();
                 self->accept();
             });
     }
 
+    void accept_waiting()
+    {
+        for (int i = 1; i < accepts_a_turn; ++i)
+        {
+            error_code error;
+            tcp::socket socket(io_);
+            acceptor_.accept(socket, error);
+            if (error)
+                return;
+            open(std::move(socket));
+        }
+    }
+
     void accept_later(error_code why)
     {
         context_.log.write(direct_event::accept_failed,
@@ -185,9 +210,23 @@
             });
     }
 
+    void tell_delay(core::time_point at)
+    {
+        context_.log.write(
+            direct_event::traffic_late,
+            {{"late", delay_.late(at) ? "yes" : "no"},
+             {"delay_ms",
+              std::to_string(
+                  std::chrono::duration_cast<milliseconds>(delay_.mean())
+                      .count())},
+             {"connections", std::to_string(sessions_.size())}});
+    }
+
     void tick()
     {
         const core::time_point at = now();
+        if (delay_.tick(at))
+            tell_delay(at);
         limits_.tick(at);
         crowded_ = sessions_.size() > crowded_at_;
         if (sessions_.size() > full_at_)
@@ -229,6 +268,7 @@
     tcp::acceptor acceptor_;
     asio::steady_timer timer_;
     asio::steady_timer accept_timer_;
+    core::direct::tick_delay delay_{tick_period};
     std::size_t crowded_at_;
     std::size_t full_at_;
     std::unordered_set<request_session*> sessions_;
@@ -279,6 +319,11 @@
                { impl->on_notes(notes); });
 }
 
+bool traffic_plane::late() const
+{
+    return impl_->late();
+}
+
 void traffic_plane::forget_instance(core::instance_id gone)
 {
     asio::post(impl_->io(),
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -144,6 +144,9 @@
     event_kind{3403, warn, "accept_failed",
                "A connection could not be accepted; those that rest are "
                "closed."},
+    event_kind{3404, warn, "traffic_late",
+               "Requests wait long before they are read, so the instance says "
+               "that it is not ready; or no longer."},
     event_kind{3501, info, "settings_reloaded",
                "The settings file was read again and is in force."},
     event_kind{3502, warn, "settings_refused",
--- a/packages/core/unittests/direct_parts_test.cpp
+++ b/packages/core/unittests/direct_parts_test.cpp
@@ -7,6 +7,7 @@
 #include "sycamorelock/core/direct/prompt_homes.hpp"
 #include "sycamorelock/core/direct/router.hpp"
 #include "sycamorelock/core/direct/store_cover.hpp"
+#include "sycamorelock/core/direct/tick_delay.hpp"
 
 #include <criterion/criterion.h>
 
@@ -377,3 +378,29 @@
     cover.heard(start + milliseconds(1000), {});
     cr_expect_not(cover.covered(start + milliseconds(1000)));
 }
+
+Test(direct_delay, an_event_loop_that_is_late_or_hangs_shows)
+{
+    tick_delay delay(milliseconds(20));
+    cr_expect_not(delay.late(start));
+    time_point now = start;
+    const auto ticks = [&](int count, int apart_ms)
+    {
+        bool changed = false;
+        for (int i = 0; i < count; ++i)
+        {
+            now += milliseconds(apart_ms);
+            changed = delay.tick(now) || changed;
+        }
+        return changed;
+    };
+    cr_expect_not(ticks(50, 21));
+    // One late tick is a pause, not an overload.
+    cr_expect_not(ticks(1, 900));
+    cr_expect(ticks(20, 500));
+    cr_expect(delay.late(now));
+    cr_expect(ticks(50, 20));
+    cr_expect_not(delay.late(now));
+    cr_expect_not(delay.late(now + milliseconds(1400)));
+    cr_expect(delay.late(now + milliseconds(1600)));
+}
--- a/test/integration/soak_test.cpp
+++ b/test/integration/soak_test.cpp
@@ -35,6 +35,12 @@
     play_seed(2);
 }
 
+// An instance hung in the close of its inbox when it ended.
+Test(soak, seed_308_instances_end_in_time)
+{
+    play_seed(308);
+}
+
 Test(soak, a_seed_gives_the_same_script)
 {
     using std::chrono::seconds;
