--- a/test/integration/fairness_test.cpp
+++ b/test/integration/fairness_test.cpp
@@ -47,6 +47,23 @@
     return work.gap(from, to);
 }
 
+/// Who took whom for dead, and when: a scheduler that is suspected grants
+/// nothing for some seconds, and its accounts are repaid later.
+void print_suspicions(fleet& running)
+{
+    for (const instance& which : running.instances())
+    {
+        std::istringstream lines(text_of(which.log_file));
+        std::string line;
+        while (std::getline(lines, line))
+        {
+            if (line.find("instance_suspected") != std::string::npos ||
+                line.find("instance_returned") != std::string::npos)
+                cr_log_warn("%s", line.c_str());
+        }
+    }
+}
+
 } // namespace
 
 Test(fairness, gap_is_bounded_with_accounts_on_different_domains)
@@ -117,6 +134,8 @@
                         std::count(trace.backlogged.begin() + long(repaid),
                                    trace.backlogged.begin() + long(to), true)),
                     to - repaid);
+    if (work.gap(repaid, to) > steady_bound)
+        print_suspicions(running);
     cr_assert(work.gap(repaid, to) <= steady_bound);
     // While the imbalance is repaid every account goes on being served.
     for (const auto& [name, trace] : counted.accounts)
