--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -35,8 +35,8 @@
 /// Parts of the descriptors that callers' connections may take: from the first
 /// on, answers end their connection; beyond the second, connections that rest
 /// are closed. The others are for endpoints, instances, the store and files.
-/// An instance through which one account sent 1,000 requests a second, each
-/// refused over a connection that then rested, accepted none for 8 s.
+/// Without a bound, callers that leave 300 connections open kept all of them,
+/// and an instance that runs out of descriptors takes no caller at all.
 constexpr double crowded_part = 0.45;
 constexpr double full_part = 0.6;
 /// A connection that rested this long is closed first.
