What stood twice in large fleets stands once: listings, homes of prompts, links

Two ways of taking a complete listing (replace, adopt) shared a loop; both call merge now. prompt_home and prompt_homes are one module. Demand for prompts is counted only in a large fleet, where it is read. Links to other instances are a file of their own, without a state in which a link has no socket. Two comments on peers spoke of reports every 200 ms.

--- a/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
@@ -19,6 +19,8 @@
 namespace sycamorelock::adapters::direct
 {
 
+class exchange_links;
+
 class control_plane
 {
   public:
@@ -49,8 +51,6 @@
     [[nodiscard]] std::string status() const;
 
   private:
-    class links;
-
     void on_config(const std::string& text, const std::string& source);
     void on_list(const std::vector<core::direct::endpoint_record>& all);
     void on_news(const store_news& news);
@@ -82,7 +82,7 @@
     traffic_plane& traffic_;
     core::direct::peers peers_;
     core::direct::endpoint_registry registry_;
-    std::unique_ptr<links> links_;
+    std::unique_ptr<exchange_links> links_;
     store_watch store_;
     std::uint64_t version_ = 0;
     std::string config_text_;
--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -1,7 +1,8 @@
 // Everything that changes rarely, and the exchange with other instances.
 #include "sycamorelock/adapters/direct/control_plane.hpp"
 
-#include "../nng_link.hpp"
+#include "exchange_links.hpp"
+
 #include "../prometheus_text.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
@@ -22,10 +23,6 @@
 /// Least time between two copies of the configuration to one instance; the
 /// first is in force before then.
 constexpr core::duration help_again_after = milliseconds(300);
-/// A link that was not used for this time is closed: its instance is gone.
-/// Those of a large fleet talk to each other only now and then, but closing and
-/// opening links costs more than keeping some hundred of them.
-constexpr core::duration idle_link = std::chrono::seconds(60);
 /// Stands for all other instances in what the router is told.
 constexpr const char* rest_sender = "rest";
 
@@ -34,51 +31,6 @@
 using core::direct::endpoint_record;
 using core::direct::exchange_report;
 
-/// Links to the other instances, opened when first used.
-class control_plane::links
-{
-  public:
-    links(std::string self, pull_inbox::receiver on_bytes)
-        : ip_(self.substr(0, self.rfind(':'))),
-          inbox_(self, std::move(on_bytes))
-    {
-    }
-
-    void send(const std::string& to, const std::string& bytes,
-              core::time_point at)
-    {
-        used& link = open_[to];
-        if (!link.socket)
-            link.socket = std::make_unique<push_link>(ip_, to);
-        link.at = at;
-        link.socket->send(bytes);
-    }
-
-    void close_idle(core::time_point at)
-    {
-        std::erase_if(open_, [at](const auto& entry)
-                      { return at - entry.second.at > idle_link; });
-    }
-
-    void redial(const std::string& to)
-    {
-        const auto found = open_.find(to);
-        if (found != open_.end() && found->second.socket)
-            found->second.socket->redial();
-    }
-
-  private:
-    struct used
-    {
-        std::unique_ptr<push_link> socket;
-        core::time_point at;
-    };
-
-    std::string ip_;
-    std::map<std::string, used> open_;
-    pull_inbox inbox_;
-};
-
 control_plane::control_plane(boost::asio::io_context& io,
                              const settings::direct_settings& settings,
                              const dialect_table& dialect, event_log& log,
@@ -99,7 +51,7 @@
 
 void control_plane::start()
 {
-    links_ = std::make_unique<links>(
+    links_ = std::make_unique<exchange_links>(
         settings_.peer_address,
         [this](std::string bytes)
         {
@@ -420,7 +372,7 @@
         store_.advance_to(report.store.revision);
     if (!report.store.endpoints)
         return;
-    const core::direct::endpoint_registry::adopted news =
+    const core::direct::endpoint_registry::listing_news news =
         registry_.adopt(*report.store.endpoints);
     for (const endpoint_record& record : news.changed)
         note_endpoint(record);
--- /dev/null
+++ b/packages/adapters/lib/direct/exchange_links.cpp
@@ -0,0 +1,42 @@
+// One push socket for each other instance.
+#include "exchange_links.hpp"
+
+namespace sycamorelock::adapters::direct
+{
+
+namespace
+{
+
+/// A link that was not used for this time is closed: its instance is gone.
+/// Those of a large fleet talk to each other only now and then, but closing and
+/// opening links costs more than keeping some hundred of them.
+constexpr core::duration idle_link = std::chrono::seconds(60);
+} // namespace
+
+exchange_links::exchange_links(std::string self, pull_inbox::receiver on_bytes)
+    : ip_(self.substr(0, self.rfind(':'))), inbox_(self, std::move(on_bytes))
+{
+}
+
+void exchange_links::send(const std::string& to, const std::string& bytes,
+                          core::time_point at)
+{
+    link& used = open_.try_emplace(to, ip_, to).first->second;
+    used.used_at = at;
+    used.socket.send(bytes);
+}
+
+void exchange_links::close_idle(core::time_point at)
+{
+    std::erase_if(open_, [at](const auto& entry)
+                  { return at - entry.second.used_at > idle_link; });
+}
+
+void exchange_links::redial(const std::string& to)
+{
+    const auto found = open_.find(to);
+    if (found != open_.end())
+        found->second.socket.redial();
+}
+
+} // namespace sycamorelock::adapters::direct
--- a/packages/core/include/sycamorelock/core/direct/endpoint_registry.hpp
+++ b/packages/core/include/sycamorelock/core/direct/endpoint_registry.hpp
@@ -59,14 +59,16 @@
     /// whole batch of news. Returns whether any was dropped.
     bool expire(time_point now);
 
-    /// Takes over the endpoints of an instance that reads the platform's store
-    /// for this one and has applied the grace.
-    struct adopted
+    /// What a complete listing changes.
+    struct listing_news
     {
         std::vector<endpoint_record> changed;
+        /// Entries that it lacks.
         std::vector<std::string> gone;
     };
-    adopted adopt(const std::vector<endpoint_record>& all);
+    /// Takes over the endpoints of an instance that reads the platform's store
+    /// for this one and has applied the grace.
+    listing_news adopt(const std::vector<endpoint_record>& all);
 
     /// The same for two instances that know the same endpoints.
     [[nodiscard]] std::uint64_t digest() const;
@@ -77,6 +79,8 @@
     }
 
   private:
+    /// Adds and changes entries, and names those that the listing lacks.
+    listing_news merge(const std::vector<endpoint_record>& all);
     /// Whether so few entries of a service went since the return that they
     /// have left rather than lapsed.
     [[nodiscard]] bool few_went(service_id service) const;
--- a/packages/core/include/sycamorelock/core/direct/peers.hpp
+++ b/packages/core/include/sycamorelock/core/direct/peers.hpp
@@ -14,8 +14,8 @@
 {
   public:
     /// An instance of which nothing new was heard for this time counts as gone.
-    /// Thirty reports of a small fleet, fifteen of a large one, where news
-    /// takes about a second to get around.
+    /// Thirty reports; in a large fleet news takes about a second to get
+    /// around.
     static constexpr duration silent_after = std::chrono::seconds(3);
     /// Afterwards it is still tried for this time, in case a cut heals.
     static constexpr duration forget_after = std::chrono::seconds(60);
--- a/packages/core/include/sycamorelock/core/direct/prompt_homes.hpp
+++ b/packages/core/include/sycamorelock/core/direct/prompt_homes.hpp
@@ -2,15 +2,26 @@
 // the same few at every instance, and more as more requests are about it.
 #pragma once
 
-#include "sycamorelock/core/direct/prompt_home.hpp"
+#include "sycamorelock/core/direct/prefix_cache.hpp"
 #include "sycamorelock/core/direct/rate_meter.hpp"
 
+#include <span>
 #include <unordered_map>
 #include <vector>
 
 namespace sycamorelock::core::direct
 {
 
+/// Key of what a prompt shares with others: all but its last part, or the only
+/// part; 0 if there are no parts.
+std::uint64_t shared_key(std::span<const prompt_part> parts);
+
+/// Tokens of all parts but the last.
+double shared_tokens(std::span<const prompt_part> parts);
+
+/// Rank of an engine for a key, from 0 to 1. Those with the highest are homes.
+double rank_of(std::uint64_t key, endpoint_id engine);
+
 /// Instances of a large fleet learn of each other's work after some 0.2 s. If
 /// all chose among all engines, those with the shortest wait in that old news
 /// would get everything until the next news comes: of 38,600 requests that 72
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -177,6 +177,8 @@
                                       const service& kind) const;
     refusal_decision refuse_for_load(const request_profile& asked,
                                      double wait_ms);
+    /// Counts how many ask about each prompt. Only a large fleet chooses by it.
+    void note_demand(time_point now, std::span<const cache_note> notes);
     /// Endpoints that a request may go to, without those in `tried`.
     [[nodiscard]] std::vector<endpoint_id>
     usable(time_point now, const request_profile& asked, const service& kind,
--- a/packages/core/lib/direct/endpoint_registry.cpp
+++ b/packages/core/lib/direct/endpoint_registry.cpp
@@ -30,26 +30,10 @@
         going_.emplace(boot, std::max(now, grace_until_));
 }
 
-void endpoint_registry::replace(time_point now,
-                                const std::vector<endpoint_record>& all)
+endpoint_registry::listing_news
+endpoint_registry::merge(const std::vector<endpoint_record>& all)
 {
-    std::map<std::string, bool> listed;
-    for (const endpoint_record& record : all)
-    {
-        listed[record.boot] = true;
-        put(record);
-    }
-    for (const auto& [boot, record] : records_)
-    {
-        if (!listed.contains(boot))
-            remove(now, boot);
-    }
-}
-
-endpoint_registry::adopted
-endpoint_registry::adopt(const std::vector<endpoint_record>& all)
-{
-    adopted result;
+    listing_news result;
     std::set<std::string_view> listed;
     for (const endpoint_record& record : all)
     {
@@ -62,6 +46,20 @@
         if (!listed.contains(boot))
             result.gone.push_back(boot);
     }
+    return result;
+}
+
+void endpoint_registry::replace(time_point now,
+                                const std::vector<endpoint_record>& all)
+{
+    for (const std::string& boot : merge(all).gone)
+        remove(now, boot);
+}
+
+endpoint_registry::listing_news
+endpoint_registry::adopt(const std::vector<endpoint_record>& all)
+{
+    listing_news result = merge(all);
     for (const std::string& boot : result.gone)
     {
         records_.erase(boot);
--- a/packages/core/lib/direct/peers.cpp
+++ b/packages/core/lib/direct/peers.cpp
@@ -172,8 +172,7 @@
 std::vector<std::string> peers::stale_links(time_point now)
 {
     std::vector<std::string> result;
-    // Where news comes by way of others, nobody acknowledges directly; links
-    // that are not used are closed and dialled anew when needed.
+    // Where news comes by way of others, nobody acknowledges directly.
     if (large(now))
         return result;
     for (auto& [address, known] : peers_)
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -367,7 +367,7 @@
     on_notes(now, report.notes);
 }
 
-void router::on_notes(time_point now, std::span<const cache_note> notes)
+void router::note_demand(time_point now, std::span<const cache_note> notes)
 {
     homes_.sweep(now);
     for (const cache_note& note : notes)
@@ -377,6 +377,17 @@
         homes_.note(
             now, shared_key(note.parts),
             read_time_ms(shared_tokens(note.parts), note.parts.back().tokens));
+    }
+}
+
+void router::on_notes(time_point now, std::span<const cache_note> notes)
+{
+    if (large_fleet_)
+        note_demand(now, notes);
+    for (const cache_note& note : notes)
+    {
+        if (note.parts.empty())
+            continue;
         const auto found = endpoints_.find(note.engine);
         if (found == endpoints_.end() || !config_)
             continue;
--- a/packages/settings/lib/direct_settings.cpp
+++ b/packages/settings/lib/direct_settings.cpp
@@ -50,7 +50,7 @@
     result.retry_ratio = number_of(held, "retry_ratio");
     result.retry_slack = number_of(held, "retry_slack");
     result.max_descriptors =
-        static_cast<std::size_t>(number_of(held, "max_descriptors"));
+        static_cast<std::size_t>(integer_of(held, "max_descriptors"));
     result.log_level = text_of(held, "log_level");
     return result;
 }
