--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -28,6 +28,12 @@
 constexpr milliseconds drain_bound{2000};
 constexpr std::size_t engine_count = 4;
 constexpr std::size_t plain_count = 3;
+constexpr int event_count = 12;
+
+milliseconds in_ms(clock::duration value)
+{
+    return std::chrono::duration_cast<milliseconds>(value);
+}
 
 /// A stretch of time in which an instance was harmed.
 struct disturbance
@@ -77,7 +83,7 @@
         made.instances = plan.instances;
         made.engines = engine_count;
         made.plain = plain_count;
-        made.events = 12;
+        made.events = event_count;
         made.gap = milliseconds(15);
         made.proxied = true;
         return made;
@@ -282,26 +288,32 @@
     void wait_for_end(std::size_t i, milliseconds at, milliseconds limit)
     {
         static constexpr milliseconds step{100};
-        int status = 0;
-        if (waitpid(fleet_.at(i).pid, &status, WNOHANG) == fleet_.at(i).pid)
-        {
-            if (!WIFEXITED(status) || WEXITSTATUS(status) != 0)
-                broke("instance " + std::to_string(i) + " ended with " +
-                      std::to_string(status));
-            fleet_.at(i).pid = -1;
-            later(at + step, [this, i] { start(i); });
-            return;
-        }
-        if (at >= limit)
+        if (!has_ended(i))
         {
+            if (at < limit)
+            {
+                later(at + step, [this, i, at, limit]
+                      { wait_for_end(i, at + step, limit); });
+                return;
+            }
             broke("instance " + std::to_string(i) + " had not ended after " +
                   std::to_string(longest_shutdown.count()) + " ms");
             fleet_.kill(fleet_.at(i));
-            later(at + step, [this, i] { start(i); });
-            return;
         }
-        later(at + step,
-              [this, i, at, limit] { wait_for_end(i, at + step, limit); });
+        later(at + step, [this, i] { start(i); });
+    }
+
+    /// Whether a leaving instance has ended, which it must do with success.
+    bool has_ended(std::size_t i)
+    {
+        int status = 0;
+        if (waitpid(fleet_.at(i).pid, &status, WNOHANG) != fleet_.at(i).pid)
+            return false;
+        if (!WIFEXITED(status) || WEXITSTATUS(status) != 0)
+            broke("instance " + std::to_string(i) + " ended with " +
+                  std::to_string(status));
+        fleet_.at(i).pid = -1;
+        return true;
     }
 
     void start(std::size_t i)
@@ -318,8 +330,7 @@
             return;
         if (fleet_.ready(fleet_.at(i)))
             return load_.set_in_rotation(i, true);
-        const auto at =
-            std::chrono::duration_cast<milliseconds>(clock::now() - begin_);
+        const milliseconds at = in_ms(clock::now() - begin_);
         later(at + step, [this, i] { wait_until_ready(i); });
     }
 
@@ -406,14 +417,9 @@
               std::to_string(which.got.status) +
               (which.got.whole ? " whole" : " cut") + ", runs " +
               std::to_string(fleet_.runs_of(which.call.id)) + ", began at " +
-              std::to_string(
-                  std::chrono::duration_cast<milliseconds>(which.start - begin_)
-                      .count()) +
+              std::to_string(in_ms(which.start - begin_).count()) +
               " ms, took " +
-              std::to_string(std::chrono::duration_cast<milliseconds>(
-                                 which.end - which.start)
-                                 .count()) +
-              " ms");
+              std::to_string(in_ms(which.end - which.start).count()) + " ms");
     }
 
     void check_answer(const record& which)
@@ -423,10 +429,9 @@
             broke(which, "a proper request was denied");
         if (which.got.status != 200)
             return;
-        const std::string own =
-            facts_of(which.call.path).streamed
-                ? stream_body(which.call.id, fleet_plan(plan_).events, 0)
-                : "answer to " + which.call.id;
+        const std::string own = facts_of(which.call.path).streamed
+                                    ? stream_body(which.call.id, event_count, 0)
+                                    : "answer to " + which.call.id;
         if (which.got.whole && which.got.body != own)
             broke(which, "an answer that looks whole is not the own one");
         if (!which.got.whole && !own.starts_with(which.got.body))
--- a/test/standins/direct_engine.hpp
+++ b/test/standins/direct_engine.hpp
@@ -29,8 +29,6 @@
     unframed,
     /// Sends the answer to the request before once more, first.
     extra,
-    /// Answers before it has read the body.
-    early,
 };
 
 struct engine_run
--- a/test/standins/direct_fleet.cpp
+++ b/test/standins/direct_fleet.cpp
@@ -208,6 +208,12 @@
     return ask(asked).body;
 }
 
+bool direct_fleet::says(const direct_instance& which, const std::string& line)
+{
+    return page(which.metrics_address(), "/metrics").find(line + '\n') !=
+           std::string::npos;
+}
+
 bool direct_fleet::ready(const direct_instance& which)
 {
     return page(which.ready_address(), "/v1/readyz") == "ready\n";
--- a/test/standins/direct_fleet.hpp
+++ b/test/standins/direct_fleet.hpp
@@ -107,6 +107,8 @@
     /// Runs of an attempt over all endpoints.
     int runs_of(const std::string& attempt_id);
     std::string page(const std::string& address, const std::string& path);
+    /// Whether an instance's metrics hold this line.
+    bool says(const direct_instance& which, const std::string& line);
     std::string log_of(const direct_instance& which);
     std::string settings_of(const direct_instance& which);
     void write_settings(const direct_instance& which, const std::string& text);
