Whoever the store turns away is sent the endpoints by others

Ruled out: the grace for lapsed entries (the instances had no listing to apply it to); in small fleets nobody passed endpoints on either.

Every report now tells the sender's revision and digest of the endpoints. An instance that starts while the store is away becomes ready by it. Old reports that a healed connection brings help nobody (peers::is_newest).

Test an_instance_without_the_store_learns_of_endpoints_from_others fails without the change (leaving endpoint not learned, not ready).

--- a/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
@@ -9,6 +9,7 @@
 #include "sycamorelock/core/direct/note_relay.hpp"
 #include "sycamorelock/core/direct/peers.hpp"
 #include "sycamorelock/core/direct/store_cover.hpp"
+#include "sycamorelock/core/direct/store_knowledge.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -65,9 +66,14 @@
     void use_notes(std::vector<core::direct::cache_note> notes);
     void help_with_config(const core::direct::exchange_report& behind);
     void pass_config_to(const std::string& peer);
+    void help_with_endpoints(const core::direct::exchange_report& behind);
     void use_store_view(const core::direct::exchange_report& report);
+    void adopt(const std::vector<core::direct::endpoint_record>& all);
+    /// What this instance has read itself, or with what others confirmed.
     [[nodiscard]] core::direct::store_view
     own_store_view(core::time_point at) const;
+    [[nodiscard]] core::direct::store_view
+    confirmed_store_view(core::time_point at) const;
     [[nodiscard]] std::vector<core::direct::endpoint_record> endpoints() const;
     void choose_reader(core::time_point at, bool is_aggregator);
     void endpoints_changed();
@@ -91,6 +97,9 @@
     core::direct::exchange_tree tree_;
     core::direct::note_relay relay_;
     core::direct::store_cover cover_;
+    core::direct::store_knowledge knowledge_;
+    /// Digest of the endpoints in the registry.
+    std::uint64_t digest_ = 0;
     /// What each member last told of the endpoints that it knows.
     std::map<std::string, core::direct::store_view> member_views_;
     /// When the configuration was last passed on to another instance.
--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -67,6 +67,7 @@
     peers_changed = 3201,
     link_renewed = 3202,
     config_passed_on = 3203,
+    endpoints_passed_on = 3204,
     store_lost = 3301,
     store_back = 3302,
     store_history_gone = 3303,
--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -133,6 +133,7 @@
 
 void control_plane::endpoints_changed()
 {
+    digest_ = registry_.digest();
     traffic_.set_endpoints(registry_.all());
     update_ready();
 }
@@ -164,6 +165,8 @@
         traffic_.set_fleet_size(live + 1);
     }
     report.config_version = version_;
+    report.store = own_store_view(at);
+    knowledge_.know(at, store_.revision(), digest_);
     if (!peers_.large(at))
     {
         choose_reader(at, true);
@@ -196,7 +199,6 @@
     choose_reader(at, aggregator.empty());
     if (!aggregator.empty())
     {
-        own.store = own_store_view(at);
         own.part = report_part::member;
         tell(at, own, {aggregator});
     }
@@ -217,7 +219,7 @@
         tell(at, other, {peers_.aggregator(at, domain)});
     other.part = report_part::rest;
     other.notes = relay_.take_all();
-    const core::direct::store_view view = own_store_view(at);
+    const core::direct::store_view view = confirmed_store_view(at);
     for (const std::string& member : tree_.members(at))
     {
         other.store = view;
@@ -263,17 +265,18 @@
         use_notes(std::move(report.notes));
         break;
     case report_part::domain:
+        knowledge_.confirm(at, report.store);
         tree_.on_domain(at, std::to_string(report.domain.value()),
                         {std::move(report.work), std::move(report.demands)});
         relay_.add_domain(report.notes);
         use_notes(std::move(report.notes));
         break;
     case report_part::rest:
-        use_store_view(report);
         use_rest({std::move(report.work), std::move(report.demands)});
         use_notes(std::move(report.notes));
         break;
     case report_part::none:
+    case report_part::copy:
         break;
     }
 }
@@ -295,10 +298,13 @@
         on_config(report.config->text, report.sender);
     if (!peers_.heard(now(), report))
         return;
-    if (report.config)
+    use_store_view(report);
+    // A copy for an instance that is behind holds nothing else.
+    if (report.part == core::direct::report_part::copy)
         return;
     if (report.config_version < version_)
         help_with_config(report);
+    help_with_endpoints(report);
     take(std::move(report));
 }
 
@@ -328,7 +334,7 @@
         return;
     helped = at;
     exchange_report copy;
-    copy.part = core::direct::report_part::none;
+    copy.part = core::direct::report_part::copy;
     copy.config_version = version_;
     copy.config = core::direct::config_copy{version_, config_text_};
     log_.write(direct_event::config_passed_on,
@@ -336,13 +342,40 @@
     tell(at, copy, {peer});
 }
 
+void control_plane::help_with_endpoints(const exchange_report& behind)
+{
+    const core::time_point at = now();
+    if (!peers_.is_newest(behind) ||
+        !knowledge_.must_help(at, behind.sender, behind.store))
+        return;
+    exchange_report copy;
+    copy.part = core::direct::report_part::copy;
+    copy.config_version = version_;
+    copy.store = own_store_view(at);
+    copy.store.endpoints = endpoints();
+    log_.write(direct_event::endpoints_passed_on,
+               {{"peer", behind.sender},
+                {"revision", std::to_string(copy.store.revision)},
+                {"behind", std::to_string(behind.store.revision)}});
+    tell(at, copy, {behind.sender});
+}
+
 core::direct::store_view
 control_plane::own_store_view(core::time_point at) const
 {
     core::direct::store_view view;
     view.revision = store_.revision();
     view.age = std::chrono::ceil<milliseconds>(at - store_.answered_at());
-    view.digest = registry_.digest();
+    view.digest = digest_;
+    return view;
+}
+
+core::direct::store_view
+control_plane::confirmed_store_view(core::time_point at) const
+{
+    core::direct::store_view view = own_store_view(at);
+    view.age = std::chrono::ceil<milliseconds>(
+        at - knowledge_.current_at(store_.answered_at()));
     return view;
 }
 
@@ -364,16 +397,28 @@
 void control_plane::use_store_view(const exchange_report& report)
 {
     const core::time_point at = now();
-    cover_.heard(at, report.store);
-    if (!cover_.covered(at) || report.store.revision < store_.revision())
+    const core::direct::store_view& told = report.store;
+    bool wanted = told.revision > store_.revision();
+    if (report.part == core::direct::report_part::rest)
+    {
+        cover_.heard(at, told);
+        // The aggregator may also have dropped an entry whose grace is over.
+        wanted = wanted ||
+                 (cover_.covered(at) && told.revision == store_.revision());
+    }
+    if (!wanted)
         return;
+    if (told.endpoints)
+        adopt(*told.endpoints);
     // A version that is on its way is not yet known, so it must be read.
-    if (report.config_version <= version_)
-        store_.advance_to(report.store.revision);
-    if (!report.store.endpoints)
-        return;
+    if (told.digest == digest_ && report.config_version <= version_)
+        store_.advance_to(told.revision);
+}
+
+void control_plane::adopt(const std::vector<endpoint_record>& all)
+{
     const core::direct::endpoint_registry::listing_news news =
-        registry_.adopt(*report.store.endpoints);
+        registry_.adopt(all);
     for (const endpoint_record& record : news.changed)
         note_endpoint(record);
     for (const std::string& boot : news.gone)
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -125,6 +125,8 @@
                "Another instance acknowledges nothing; it is dialled anew."},
     event_kind{3203, info, "config_passed_on",
                "Another instance is behind and was sent the configuration."},
+    event_kind{3204, info, "endpoints_passed_on",
+               "Another instance is behind and was sent all endpoints."},
     event_kind{3301, warn, "store_lost",
                "The configuration store does not answer as it should."},
     event_kind{3302, info, "store_back",
--- a/packages/core/include/sycamorelock/core/direct/exchange.hpp
+++ b/packages/core/include/sycamorelock/core/direct/exchange.hpp
@@ -48,6 +48,8 @@
     rest = 3,
     /// None: the report only tells of instances.
     none = 4,
+    /// None: the report brings an instance what it could not read.
+    copy = 5,
 };
 
 /// The operators' configuration as the platform published it.
@@ -58,16 +60,18 @@
 };
 
 /// What an instance knows from the platform's store. An aggregator tells its
-/// members, which need not read the store then.
+/// members, which need not read the store then; all tell it in every report, so
+/// that whoever is behind is helped.
 struct store_view
 {
     /// The store's revision up to which the sender has read.
     std::uint64_t revision = 0;
-    /// Time since the store's last answer.
+    /// Time since the store's last answer, or since what is known here was
+    /// last confirmed by an instance that had one.
     milliseconds age{0};
     /// Digest of the endpoints.
     std::uint64_t digest = 0;
-    /// All endpoints, for a member that told another digest.
+    /// All endpoints, for an instance that is behind.
     std::optional<std::vector<endpoint_record>> endpoints;
 };
 
--- a/packages/core/include/sycamorelock/core/direct/peers.hpp
+++ b/packages/core/include/sycamorelock/core/direct/peers.hpp
@@ -40,6 +40,10 @@
     /// that has ended.
     bool heard(time_point now, const exchange_report& report);
 
+    /// Whether nothing newer of its sender is known. After a cut, connections
+    /// bring reports of its whole length.
+    [[nodiscard]] bool is_newest(const exchange_report& report) const;
+
     /// Fills in the sender, its number and what it knows of others.
     void fill_report(time_point now, exchange_report& report);
 
--- a/packages/core/lib/direct/peers.cpp
+++ b/packages/core/lib/direct/peers.cpp
@@ -54,6 +54,12 @@
     return true;
 }
 
+bool peers::is_newest(const exchange_report& report) const
+{
+    const auto known = peers_.find(report.sender);
+    return known == peers_.end() || report.number >= known->second.number;
+}
+
 void peers::acknowledge(time_point now, peer& from, const peer_sight& own)
 {
     if (own.incarnation != incarnation_ || own.heard <= from.acknowledged)
--- /dev/null
+++ b/packages/core/lib/direct/store_knowledge.cpp
@@ -0,0 +1,38 @@
+// Revisions tell who is behind, digests whether it matters.
+#include "sycamorelock/core/direct/store_knowledge.hpp"
+
+namespace sycamorelock::core::direct
+{
+
+void store_knowledge::know(time_point now, std::uint64_t revision,
+                           std::uint64_t digest)
+{
+    digest_ = digest;
+    if (revisions_.empty() || revisions_.back().revision < revision)
+        revisions_.push_back({now, revision});
+    while (revisions_.size() > 1 && now - revisions_[1].since >= help_after)
+        revisions_.pop_front();
+}
+
+bool store_knowledge::must_help(time_point now, const std::string& peer,
+                                const store_view& told)
+{
+    if (told.digest == digest_ || revisions_.empty())
+        return false;
+    const state& settled = revisions_.front();
+    if (now - settled.since < help_after || told.revision >= settled.revision)
+        return false;
+    time_point& helped = helped_at_[peer];
+    if (now - helped < help_again_after)
+        return false;
+    helped = now;
+    return true;
+}
+
+void store_knowledge::confirm(time_point now, const store_view& told)
+{
+    if (told.revision > 0 && told.digest == digest_)
+        confirmed_at_ = std::max(confirmed_at_, now - told.age);
+}
+
+} // namespace sycamorelock::core::direct
--- a/packages/core/unittests/direct_fleet_test.cpp
+++ b/packages/core/unittests/direct_fleet_test.cpp
@@ -153,6 +153,31 @@
     cr_expect_not(one.heard(start, report));
 }
 
+// After a cut heals, connections bring what was sent meanwhile. Whoever sent it
+// knows more by now, as others tell.
+Test(direct_peers, a_report_from_before_the_newest_known_is_old)
+{
+    peers one(address(0), here, 1, {});
+    exchange_report other;
+    other.sender = address(1);
+    other.incarnation = 1;
+    other.number = 5;
+    cr_expect(one.heard(start, other));
+    cr_expect(one.is_newest(other));
+    exchange_report gossip;
+    gossip.sender = address(2);
+    gossip.incarnation = 1;
+    gossip.number = 1;
+    gossip.peers = {{address(1), 1, 60, here}};
+    cr_expect(one.heard(start, gossip));
+    other.number = 6;
+    cr_expect(one.heard(start, other));
+    cr_expect_not(one.is_newest(other));
+    other.number = 61;
+    cr_expect(one.heard(start, other));
+    cr_expect(one.is_newest(other));
+}
+
 Test(direct_peers, a_link_that_nobody_acknowledges_is_dialled_anew)
 {
     peers one(address(0), here, 1, {});
--- a/packages/core/unittests/direct_parts_test.cpp
+++ b/packages/core/unittests/direct_parts_test.cpp
@@ -7,6 +7,7 @@
 #include "sycamorelock/core/direct/prompt_homes.hpp"
 #include "sycamorelock/core/direct/router.hpp"
 #include "sycamorelock/core/direct/store_cover.hpp"
+#include "sycamorelock/core/direct/store_knowledge.hpp"
 #include "sycamorelock/core/direct/tick_delay.hpp"
 
 #include <criterion/criterion.h>
@@ -379,6 +380,49 @@
     cr_expect_not(cover.covered(start + milliseconds(1000)));
 }
 
+Test(direct_knowledge, who_lacks_old_news_is_helped_and_others_are_not)
+{
+    store_knowledge here;
+    here.know(start, 10, 1);
+    here.know(start + seconds(1), 20, 2);
+    const auto told = [](std::uint64_t revision, std::uint64_t digest)
+    {
+        store_view view;
+        view.revision = revision;
+        view.digest = digest;
+        return view;
+    };
+    const auto later = [](int ms) { return start + milliseconds(1000 + ms); };
+    // Time to read the news itself; what is older it should have had.
+    here.know(later(100), 20, 2);
+    cr_expect_not(here.must_help(later(100), "slow", told(10, 1)));
+    cr_expect(here.must_help(later(100), "turned away", told(9, 0)));
+    here.know(later(800), 20, 2);
+    cr_expect(here.must_help(later(800), "slow", told(10, 1)));
+    cr_expect_not(here.must_help(later(900), "slow", told(10, 1)));
+    cr_expect(here.must_help(later(1200), "slow", told(10, 1)));
+    // The same endpoints, or the same revision: nothing to tell.
+    cr_expect_not(here.must_help(later(900), "alike", told(10, 2)));
+    cr_expect_not(here.must_help(later(900), "in grace", told(20, 3)));
+}
+
+Test(direct_knowledge, an_equal_listing_elsewhere_confirms_the_own_one)
+{
+    store_knowledge here;
+    here.know(start, 10, 1);
+    store_view told;
+    told.revision = 12;
+    told.digest = 2;
+    told.age = milliseconds(100);
+    const time_point at = start + seconds(5);
+    here.confirm(at, told);
+    cr_expect(here.current_at(start) == start);
+    told.digest = 1;
+    here.confirm(at, told);
+    cr_expect(here.current_at(start) == at - milliseconds(100));
+    cr_expect(here.current_at(at) == at);
+}
+
 Test(direct_delay, an_event_loop_that_is_late_or_hangs_shows)
 {
     tick_delay delay(milliseconds(20));
--- a/packages/wire/lib/exchange_codec.cpp
+++ b/packages/wire/lib/exchange_codec.cpp
@@ -179,7 +179,7 @@
     report.number = message.number();
     report.leaving = message.leaving();
     report.domain = core::domain_id(message.domain());
-    if (message.part() > static_cast<std::uint32_t>(direct::report_part::none))
+    if (message.part() > static_cast<std::uint32_t>(direct::report_part::copy))
         throw decode_error("an unknown kind of report");
     report.part = static_cast<direct::report_part>(message.part());
     report.config_version = message.config_version();
--- a/test/integration/direct_operations_test.cpp
+++ b/test/integration/direct_operations_test.cpp
@@ -304,6 +304,45 @@
     cr_expect(eventually(drained, milliseconds(2000)));
 }
 
+// The store turns one instance away and serves the others: it must not go on
+// sending to an endpoint that leaves, nor lack one that is new.
+Test(direct, an_instance_without_the_store_learns_of_endpoints_from_others)
+{
+    direct_plan plan;
+    plan.instances = 3;
+    plan.proxied = true;
+    direct_fleet fleet(plan);
+    direct_instance& alone = fleet.at(1);
+    fault cut;
+    cut.cut = true;
+    fleet.faults().set("*", alone.store_address, cut);
+    cr_assert(eventually(
+        [&] {
+            return fleet.log_of(alone).find("\"store_lost\"") !=
+                   std::string::npos;
+        },
+        std::chrono::seconds(3)));
+    fleet.list_engine(0, "draining");
+    cr_expect(eventually(
+        [&]
+        {
+            return fleet.log_of(alone).find("\"endpoint_drains\"") !=
+                   std::string::npos;
+        },
+        milliseconds(2000)));
+    fleet.unlist_engine(0);
+    cr_expect(eventually(
+        [&] { return fleet.says(alone, "sycamorelock_endpoints 3"); },
+        milliseconds(2000)));
+
+    // One that starts meanwhile gets everything from the others.
+    fleet.kill(alone);
+    fleet.start(alone);
+    cr_expect(eventually([&] { return fleet.ready(alone); },
+                         std::chrono::seconds(3)));
+    cr_expect_eq(ask(fleet.make_call(1)).status, 200U);
+}
+
 // An instance without descriptors takes no caller, but says that it is ready.
 Test(direct, callers_that_rest_leave_room_for_new_ones)
 {
