News in a large fleet every 50 ms instead of 100; gossip, sums and digests made less often

Cause: with no wait known, a first token still came 150 to 300 ms late in a quarter of all requests (lines of all 77 instances): what others had sent in the last 160 ms was not known.

Reports of a large fleet go every 50 ms. To pay for it: gossip to others every 400 ms instead of with each report, known instances drawn once a round, the sum of all made once and each member's own part taken out of it, and the keyed digest set up once a thread.

--- a/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
@@ -104,6 +104,7 @@
     std::map<std::string, core::direct::store_view> member_views_;
     /// When the configuration was last passed on to another instance.
     std::map<std::string, core::time_point> helped_at_;
+    core::time_point next_gossip_;
     std::size_t live_ = 0;
     bool was_ready_ = false;
     bool leaving_ = false;
--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -23,6 +23,11 @@
 /// Least time between two copies of the configuration to one instance; the
 /// first is in force before then.
 constexpr core::duration help_again_after = milliseconds(300);
+/// Period of what a large fleet's instance tells a few others of all instances.
+/// Those that aggregate tell it with each report; this is for finding each
+/// other when one ends. At each report it was a third of all bytes between
+/// failure domains.
+constexpr core::duration gossip_period = milliseconds(400);
 /// Stands for all other instances in what the router is told.
 constexpr const char* rest_sender = "rest";
 
@@ -167,6 +172,7 @@
     report.config_version = version_;
     report.store = own_store_view(at);
     knowledge_.know(at, store_.revision(), digest_);
+    peers_.fill_report(at, report);
     if (!peers_.large(at))
     {
         choose_reader(at, true);
@@ -181,8 +187,7 @@
 void control_plane::tell(core::time_point at, exchange_report& report,
                          const std::vector<std::string>& to)
 {
-    report.peers.clear();
-    peers_.fill_report(at, report);
+    peers_.number(report);
     const std::string bytes = wire::encode_report(report, settings_.fleet_key);
     for (const std::string& address : to)
         links_->send(address, bytes, at);
@@ -200,14 +205,22 @@
     if (!aggregator.empty())
     {
         own.part = report_part::member;
+        own.peers.clear();
         tell(at, own, {aggregator});
     }
-    other.part = report_part::none;
-    other.work.clear();
-    other.demands.clear();
-    tell(at, other, peers_.gossip_targets(at));
+    if (at >= next_gossip_)
+    {
+        next_gossip_ = at + gossip_period;
+        other.part = report_part::none;
+        other.work.clear();
+        other.demands.clear();
+        tell(at, other, peers_.gossip_targets(at));
+    }
+    if (!aggregator.empty() && !tree_.aggregates(at))
+        return;
+    const core::direct::exchange_total total = tree_.total(at);
     if (aggregator.empty())
-        use_rest(tree_.rest_for(at, ""));
+        use_rest(tree_.rest_for(total, ""));
     if (!tree_.aggregates(at))
         return;
     core::direct::exchange_sum sum = tree_.domain_sum(at);
@@ -226,7 +239,7 @@
         const core::direct::store_view& known = member_views_[member];
         if (known.digest != view.digest && known.revision <= view.revision)
             other.store.endpoints = endpoints();
-        core::direct::exchange_sum rest = tree_.rest_for(at, member);
+        core::direct::exchange_sum rest = tree_.rest_for(total, member);
         other.work = std::move(rest.work);
         other.demands = std::move(rest.demands);
         tell(at, other, {member});
@@ -334,6 +347,7 @@
         return;
     helped = at;
     exchange_report copy;
+    peers_.fill_report(at, copy);
     copy.part = core::direct::report_part::copy;
     copy.config_version = version_;
     copy.config = core::direct::config_copy{version_, config_text_};
@@ -349,6 +363,7 @@
         !knowledge_.must_help(at, behind.sender, behind.store))
         return;
     exchange_report copy;
+    peers_.fill_report(at, copy);
     copy.part = core::direct::report_part::copy;
     copy.config_version = version_;
     copy.store = own_store_view(at);
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -24,6 +24,10 @@
 /// Period of reports to the other instances. Ten requests a second reach an
 /// engine, so about one is placed in ignorance of another.
 constexpr core::duration report_period = milliseconds(100);
+/// The same in a large fleet, where news takes three reports to reach all: with
+/// 100 ms it was 160 ms old on average. In the engine model 840 of 1,738 plans
+/// are on time with news that takes 120 ms more, 943 with 60.
+constexpr core::duration large_report_period = milliseconds(50);
 constexpr core::duration sweep_period = milliseconds(200);
 /// Connections that wait to be accepted. Callers wait a second for one; a
 /// longer queue holds those that have already given up.
@@ -235,7 +239,8 @@
             close_resting();
         if (at >= next_report_)
         {
-            next_report_ = at + report_period;
+            next_report_ = at + (router_.large_fleet() ? large_report_period
+                                                       : report_period);
             core::direct::exchange_report report;
             router_.fill_report(at, report);
             report.leaving = leaving_;
--- a/packages/core/include/sycamorelock/core/direct/exchange_tree.hpp
+++ b/packages/core/include/sycamorelock/core/direct/exchange_tree.hpp
@@ -19,6 +19,16 @@
     std::vector<account_demand> demands;
 };
 
+/// Work and demands of all instances, from which a member's own are taken out.
+struct exchange_total
+{
+    std::map<endpoint_id, endpoint_work> work;
+    std::map<account_id, account_demand> demands;
+
+    void add(const exchange_sum& part);
+    [[nodiscard]] exchange_sum without(const exchange_sum& part) const;
+};
+
 class exchange_tree
 {
   public:
@@ -37,8 +47,10 @@
     [[nodiscard]] std::vector<std::string> members(time_point now) const;
     /// Sum of this instance and its members.
     [[nodiscard]] exchange_sum domain_sum(time_point now) const;
+    /// Sum of this domain and all others, made once for a round of reports.
+    [[nodiscard]] exchange_total total(time_point now) const;
     /// Sum of all others as one member sees them; empty name: this instance.
-    [[nodiscard]] exchange_sum rest_for(time_point now,
+    [[nodiscard]] exchange_sum rest_for(const exchange_total& total,
                                         const std::string& member) const;
 
   private:
@@ -52,6 +64,8 @@
         return now - which.at <= part_life;
     }
 
+    void add_domain(time_point now, exchange_total& sum) const;
+
     part own_;
     std::map<std::string, part> members_;
     std::map<std::string, part> domains_;
--- a/packages/core/include/sycamorelock/core/direct/load_ledger.hpp
+++ b/packages/core/include/sycamorelock/core/direct/load_ledger.hpp
@@ -4,6 +4,7 @@
 
 #include "sycamorelock/core/strong_types.hpp"
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -31,6 +32,15 @@
         tokens += other.tokens;
         return *this;
     }
+    /// Takes out what was added before.
+    endpoint_work& operator-=(const endpoint_work& other)
+    {
+        unread_ms = std::max(0.0, unread_ms - other.unread_ms);
+        waiting -= std::min(waiting, other.waiting);
+        running -= std::min(running, other.running);
+        tokens = std::max(0.0, tokens - other.tokens);
+        return *this;
+    }
     [[nodiscard]] bool idle() const { return waiting == 0 && running == 0; }
 };
 
--- a/packages/core/include/sycamorelock/core/direct/peers.hpp
+++ b/packages/core/include/sycamorelock/core/direct/peers.hpp
@@ -44,8 +44,10 @@
     /// bring reports of its whole length.
     [[nodiscard]] bool is_newest(const exchange_report& report) const;
 
-    /// Fills in the sender, its number and what it knows of others.
+    /// Fills in the sender and what it knows of others.
     void fill_report(time_point now, exchange_report& report);
+    /// Numbers a report. A receiver takes only higher numbers than before.
+    void number(exchange_report& report) { report.number = ++number_; }
 
     /// Whether the fleet is too large for everyone to tell everyone.
     [[nodiscard]] bool large(time_point now) const
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -143,6 +143,8 @@
     /// This instance's part of the exchange since the previous call.
     void fill_report(time_point now, exchange_report& report);
     void set_fleet_size(std::size_t instances);
+    /// Whether news of other instances comes by way of aggregators, and late.
+    [[nodiscard]] bool large_fleet() const { return large_fleet_; }
     /// Changes the fleet's budget of repeats.
     void set_retries(double ratio, double slack)
     {
--- a/packages/core/lib/direct/exchange_tree.cpp
+++ b/packages/core/lib/direct/exchange_tree.cpp
@@ -1,51 +1,59 @@
-// Sums are made when asked for, so that no part counts twice.
+// Sums are made anew for each round, so that no part counts twice.
 #include "sycamorelock/core/direct/exchange_tree.hpp"
 
+#include <algorithm>
+
 namespace sycamorelock::core::direct
 {
 
-namespace
+void exchange_total::add(const exchange_sum& part)
 {
+    for (const endpoint_work& each : part.work)
+    {
+        endpoint_work& sum = work[each.endpoint];
+        sum.endpoint = each.endpoint;
+        sum += each;
+    }
+    for (const account_demand& demand : part.demands)
+    {
+        account_demand& sum = demands[demand.account];
+        sum.account = demand.account;
+        sum.asked += demand.asked;
+        sum.served += demand.served;
+    }
+}
 
-/// Adds up sums by endpoint and by account.
-class adder
+exchange_sum exchange_total::without(const exchange_sum& part) const
 {
-  public:
-    void add(const exchange_sum& part)
+    std::map<endpoint_id, const endpoint_work*> own_work;
+    for (const endpoint_work& each : part.work)
+        own_work[each.endpoint] = &each;
+    std::map<account_id, const account_demand*> own_demands;
+    for (const account_demand& demand : part.demands)
+        own_demands[demand.account] = &demand;
+    exchange_sum rest;
+    rest.work.reserve(work.size());
+    for (const auto& [id, sum] : work)
     {
-        for (const endpoint_work& work : part.work)
-        {
-            endpoint_work& sum = work_[work.endpoint];
-            sum.endpoint = work.endpoint;
-            sum += work;
-        }
-        for (const account_demand& demand : part.demands)
-        {
-            account_demand& sum = demands_[demand.account];
-            sum.account = demand.account;
-            sum.asked += demand.asked;
-            sum.served += demand.served;
-        }
+        endpoint_work left = sum;
+        if (const auto own = own_work.find(id); own != own_work.end())
+            left -= *own->second;
+        if (!left.idle())
+            rest.work.push_back(left);
     }
-
-    [[nodiscard]] exchange_sum result() const
+    rest.demands.reserve(demands.size());
+    for (const auto& [id, sum] : demands)
     {
-        exchange_sum made;
-        made.work.reserve(work_.size());
-        for (const auto& [id, work] : work_)
-            made.work.push_back(work);
-        made.demands.reserve(demands_.size());
-        for (const auto& [id, demand] : demands_)
-            made.demands.push_back(demand);
-        return made;
+        account_demand left = sum;
+        if (const auto own = own_demands.find(id); own != own_demands.end())
+        {
+            left.asked = std::max(0.0, left.asked - own->second->asked);
+            left.served = std::max(0.0, left.served - own->second->served);
+        }
+        rest.demands.push_back(left);
     }
-
-  private:
-    std::map<endpoint_id, endpoint_work> work_;
-    std::map<account_id, account_demand> demands_;
-};
-
-} // namespace
+    return rest;
+}
 
 void exchange_tree::set_own(time_point now, exchange_sum own)
 {
@@ -82,33 +90,37 @@
 
 exchange_sum exchange_tree::domain_sum(time_point now) const
 {
-    adder sum;
+    exchange_total sum;
+    add_domain(now, sum);
+    return sum.without({});
+}
+
+exchange_total exchange_tree::total(time_point now) const
+{
+    exchange_total sum;
+    add_domain(now, sum);
+    for (const auto& [name, domain] : domains_)
+    {
+        if (fresh(now, domain))
+            sum.add(domain.sum);
+    }
+    return sum;
+}
+
+void exchange_tree::add_domain(time_point now, exchange_total& sum) const
+{
     sum.add(own_.sum);
     for (const auto& [name, member] : members_)
     {
         if (fresh(now, member))
             sum.add(member.sum);
     }
-    return sum.result();
 }
 
-exchange_sum exchange_tree::rest_for(time_point now,
+exchange_sum exchange_tree::rest_for(const exchange_total& total,
                                      const std::string& member) const
 {
-    adder sum;
-    if (!member.empty())
-        sum.add(own_.sum);
-    for (const auto& [name, other] : members_)
-    {
-        if (name != member && fresh(now, other))
-            sum.add(other.sum);
-    }
-    for (const auto& [name, domain] : domains_)
-    {
-        if (fresh(now, domain))
-            sum.add(domain.sum);
-    }
-    return sum.result();
+    return total.without(member.empty() ? own_.sum : members_.at(member).sum);
 }
 
 } // namespace sycamorelock::core::direct
--- a/packages/core/lib/direct/peers.cpp
+++ b/packages/core/lib/direct/peers.cpp
@@ -3,6 +3,7 @@
 #include "sycamorelock/core/direct/peers.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace sycamorelock::core::direct
 {
@@ -93,7 +94,7 @@
     report.sender = self_;
     report.domain = domain_;
     report.incarnation = incarnation_;
-    report.number = ++number_;
+    report.peers.clear();
     std::erase_if(peers_,
                   [now](const auto& entry)
                   {
@@ -101,16 +102,20 @@
                       return now - std::max(known.heard_at, known.known_since) >
                              forget_after;
                   });
-    for (const auto& [address, known] : peers_)
+    using entry = decltype(peers_)::value_type;
+    std::vector<const entry*> live;
+    live.reserve(peers_.size());
+    for (const entry& each : peers_)
     {
-        if (is_live(now, known))
-            report.peers.push_back(
-                {address, known.incarnation, known.number, known.domain});
+        if (is_live(now, each.second))
+            live.push_back(&each);
     }
-    if (report.peers.size() <= gossip_size)
-        return;
-    std::shuffle(report.peers.begin(), report.peers.end(), random_);
-    report.peers.resize(gossip_size);
+    std::vector<const entry*> told;
+    std::sample(live.begin(), live.end(), std::back_inserter(told), gossip_size,
+                random_);
+    for (const entry* each : told)
+        report.peers.push_back({each->first, each->second.incarnation,
+                                each->second.number, each->second.domain});
 }
 
 std::vector<std::string> peers::everyone() const
@@ -133,7 +138,7 @@
     result.resize(std::min(result.size(), gossip_fanout));
     // Now and then one that is silent or a seed, so that the halves of a fleet
     // that was cut find each other again.
-    static constexpr std::size_t rounds = 10;
+    static constexpr std::size_t rounds = 3;
     std::uniform_int_distribution<std::size_t> draw(0, rounds - 1);
     if (draw(random_) > 0)
         return result;
--- a/packages/core/unittests/direct_fleet_test.cpp
+++ b/packages/core/unittests/direct_fleet_test.cpp
@@ -47,6 +47,7 @@
                 continue;
             exchange_report report;
             all[i]->fill_report(now, report);
+            all[i]->number(report);
             const auto targets = all[i]->large(now)
                                      ? all[i]->gossip_targets(now)
                                      : all[i]->everyone();
@@ -190,6 +191,7 @@
         now += milliseconds(100);
         exchange_report own;
         one.fill_report(now, own);
+        one.number(own);
         report.number = i;
         report.peers = {{address(0), 1, own.number, here}};
         one.heard(now, report);
@@ -216,12 +218,13 @@
     tree.on_domain(start, "there", work_of(1000));
     cr_expect(tree.aggregates(start));
     cr_expect_float_eq(tree.domain_sum(start).work.at(0).unread_ms, 111, 1e-9);
-    cr_expect_float_eq(tree.rest_for(start, "m1").work.at(0).unread_ms, 1101,
-                       1e-9);
-    cr_expect_float_eq(tree.rest_for(start, "").work.at(0).unread_ms, 1110,
-                       1e-9);
-    cr_expect_float_eq(tree.rest_for(start, "m2").demands.at(0).asked, 1011,
-                       1e-9);
+    cr_expect_float_eq(
+        tree.rest_for(tree.total(start), "m1").work.at(0).unread_ms, 1101,
+        1e-9);
+    cr_expect_float_eq(
+        tree.rest_for(tree.total(start), "").work.at(0).unread_ms, 1110, 1e-9);
+    cr_expect_float_eq(
+        tree.rest_for(tree.total(start), "m2").demands.at(0).asked, 1011, 1e-9);
 }
 
 Test(direct_tree, silent_members_and_domains_leave_the_sum)
@@ -232,7 +235,7 @@
     tree.on_domain(start, "there", work_of(1000));
     const time_point later = start + seconds(2);
     tree.on_member(later, "m2", work_of(100));
-    cr_expect_float_eq(tree.rest_for(later, "").work.at(0).unread_ms, 100,
-                       1e-9);
+    cr_expect_float_eq(
+        tree.rest_for(tree.total(later), "").work.at(0).unread_ms, 100, 1e-9);
     cr_expect_eq(tree.members(later).size(), 1U);
 }
--- a/test/integration/shutdown_test.cpp
+++ b/test/integration/shutdown_test.cpp
@@ -38,7 +38,8 @@
             cr_assert(got.completed(), "instance %zu: status %u reason %s", i,
                       got.status, got.reason.c_str());
         cr_assert_eq(counted.lost, 0, "%ld lost", counted.lost);
-        cr_assert_eq(counted.refused_not_run + counted.unknown, 0);
+        cr_assert_eq(counted.refused_not_run + counted.unknown, 0,
+                     "instance %zu: %s", i, counted.reasons_text().c_str());
     }
 }
 
--- a/test/standins/load.cpp
+++ b/test/standins/load.cpp
@@ -25,6 +25,14 @@
     return made;
 }
 
+std::string tally::reasons_text() const
+{
+    std::string text;
+    for (const auto& [reason, count] : reasons)
+        text += std::to_string(count) + " x " + reason + "; ";
+    return text;
+}
+
 load::load(fleet& running, std::string service, std::size_t slots,
            std::vector<sender> senders, std::uint64_t seed)
     : fleet_(running), service_(std::move(service)), slots_(slots),
@@ -139,6 +147,7 @@
     const bool not_run = got.executed == "no";
     tally_.refused.emplace_back(made.mark, not_run);
     ++(not_run ? tally_.refused_not_run : tally_.unknown);
+    ++tally_.reasons[std::to_string(got.status) + ' ' + got.reason];
 }
 
 asio::awaitable<void> load::sample()
--- a/test/standins/load.hpp
+++ b/test/standins/load.hpp
@@ -46,6 +46,9 @@
     long completed = 0;
     long refused_not_run = 0;
     long unknown = 0;
+    /// Refusals and unknown ends by reason, for the message of a failed test.
+    std::map<std::string, long> reasons;
+    [[nodiscard]] std::string reasons_text() const;
     /// Neither an answer nor a refusal, or an answer that ended early.
     long lost = 0;
     long foreign = 0;
--- a/utils/measurement/experiment.cpp
+++ b/utils/measurement/experiment.cpp
@@ -54,6 +54,20 @@
               << '\n';
 }
 
+model::world_plan plan_of(const cxxopts::ParseResult& given)
+{
+    model::world_plan plan =
+        given.count("large") > 0 ? model::large_plan() : model::atlas_plan();
+    plan.seed = given["seed"].as<std::uint64_t>();
+    if (given.count("routers") > 0)
+        plan.routers = given["routers"].as<std::size_t>();
+    if (given.count("delay-ms") > 0)
+        plan.report_delay_ms = given["delay-ms"].as<double>();
+    if (given.count("period-ms") > 0)
+        plan.report_period_ms = given["period-ms"].as<double>();
+    return plan;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -68,10 +82,12 @@
         cxxopts::value<double>()->default_value("10"))(
         "traffic", "factor on the usual load",
         cxxopts::value<double>()->default_value("1"))(
-        "routers", "routers",
-        cxxopts::value<std::size_t>()->default_value("8"))(
+        "large", "five times as many engines, and news by way of aggregators")(
+        "routers", "routers", cxxopts::value<std::size_t>())(
         "delay-ms", "delay of reports between routers",
-        cxxopts::value<double>()->default_value("5"))("h,help", "this help");
+        cxxopts::value<double>())("period-ms", "period of reports",
+                                  cxxopts::value<double>())("h,help",
+                                                            "this help");
     try
     {
         const auto given = options.parse(argc, argv);
@@ -90,10 +106,7 @@
         {
             if (wanted != "all" && wanted != name)
                 continue;
-            model::world_plan plan = model::atlas_plan();
-            plan.seed = given["seed"].as<std::uint64_t>();
-            plan.routers = given["routers"].as<std::size_t>();
-            plan.report_delay_ms = given["delay-ms"].as<double>();
+            model::world_plan plan = plan_of(given);
             for (model::request_kind& kind : plan.kinds)
                 kind.per_second *= given["traffic"].as<double>();
             direct_world world(plan);
