--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -25,8 +25,9 @@
 constexpr core::duration help_again_after = milliseconds(300);
 /// Period of what a large fleet's instance tells a few others of all instances.
 /// Those that aggregate tell it with each report; this is for finding each
-/// other when one ends. At each report it was a third of all bytes between
-/// failure domains.
+/// other when one ends. With 77 instances it saves a fifth of the bytes between
+/// failure domains (0.28 GB in 44 s before), although reports come twice as
+/// often.
 constexpr core::duration gossip_period = milliseconds(400);
 /// Stands for all other instances in what the router is told.
 constexpr const char* rest_sender = "rest";
