The instance that started first aggregates its failure domain

Cause: the aggregator was the lowest address that lives; one of 13 instances that returned at second 13 took the role over with empty sums, and all others took endpoints and accounts for idle. Ruled out: copies of caches (broken with and without them). Works because all instances know each other's incarnation, and who returns has the highest.

--- a/packages/core/include/sycamorelock/core/direct/peers.hpp
+++ b/packages/core/include/sycamorelock/core/direct/peers.hpp
@@ -59,8 +59,9 @@
     [[nodiscard]] std::vector<std::string> everyone() const;
     /// A few, drawn at random, to tell of instances in a large fleet.
     std::vector<std::string> gossip_targets(time_point now);
-    /// The instance that should aggregate a failure domain; empty if it is
-    /// this one, or none lives there.
+    /// The instance that should aggregate a failure domain: of those that live
+    /// and stay the one that started first, by the incarnation that each tells.
+    /// Empty if it is this one, or none lives there.
     [[nodiscard]] std::string aggregator(time_point now,
                                          domain_id domain) const;
     /// Failure domains of live instances other than the own one.
--- a/packages/core/lib/direct/peers.cpp
+++ b/packages/core/lib/direct/peers.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <tuple>
 
 namespace sycamorelock::core::direct
 {
@@ -156,17 +157,28 @@
 
 std::string peers::aggregator(time_point now, domain_id domain) const
 {
-    // The lowest address of those that live and stay. All agree on it but for
-    // about a second after a change, and what is summed twice or not at all
-    // meanwhile is forgotten as fast.
+    // One that has just started holds no sums of its members; until they reach
+    // it, all others would take endpoints and accounts for idle. While views
+    // differ after a change, what is summed twice or not at all is replaced by
+    // the next sums.
+    const std::string* oldest = nullptr;
+    std::uint64_t started = 0;
+    if (domain == domain_)
+    {
+        oldest = &self_;
+        started = incarnation_;
+    }
     for (const auto& [address, known] : peers_)
     {
         if (known.domain != domain || !is_live(now, known) || known.leaving)
             continue;
-        const bool own = domain == domain_ && self_ < address;
-        return own ? std::string() : address;
+        if (oldest != nullptr &&
+            std::tie(started, *oldest) < std::tie(known.incarnation, address))
+            continue;
+        oldest = &address;
+        started = known.incarnation;
     }
-    return {};
+    return oldest == nullptr || oldest == &self_ ? std::string() : *oldest;
 }
 
 std::set<domain_id> peers::other_domains(time_point now) const
--- a/packages/core/unittests/direct_fleet_test.cpp
+++ b/packages/core/unittests/direct_fleet_test.cpp
@@ -136,6 +136,31 @@
     cr_expect_eq(world.all[0]->other_domains(world.now).count(there), 1U);
 }
 
+// Guards against all members turning to an instance that has just started: it
+// has no sums yet, and all take endpoints for idle.
+Test(direct_peers, an_instance_that_returns_does_not_aggregate)
+{
+    small_world world(20);
+    for (int i = 0; i < 40; ++i)
+        world.round();
+    world.down = {0};
+    for (int i = 0; i < 40; ++i)
+        world.round();
+    world.down.clear();
+    world.all[0] = std::make_unique<peers>(
+        address(0), here, 1000, std::vector<std::string>{address(1)});
+    for (int round = 0; round < 40; ++round)
+    {
+        world.round();
+        for (std::size_t i = 4; i < 20; i += 2)
+            cr_assert_str_eq(world.all[i]->aggregator(world.now, here).c_str(),
+                             address(2).c_str(), "round %d", round);
+        cr_assert(world.all[2]->aggregator(world.now, here).empty());
+    }
+    cr_expect_str_eq(world.all[0]->aggregator(world.now, here).c_str(),
+                     address(2).c_str());
+}
+
 Test(direct_peers, a_report_is_taken_once_and_only_from_the_newest_process)
 {
     peers one(address(0), here, 1, {});
