A leaving instance turns to another aggregator; checks of strings compare strings

Found by looking for the fault of the returned aggregator elsewhere: during its drain the oldest instance took itself for the aggregator, though its members had turned away, and decided from its own work alone. Evidence: the test fails without peers::leave having an effect (1 of 12). Replaced checks: cr_expect_str_eq on .c_str() of temporaries passed whatever the strings were (the new test passed on the old code).

--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -433,6 +433,7 @@
 void control_plane::leave()
 {
     leaving_ = true;
+    peers_.leave();
     log_.write(process_event::draining, {});
 }
 
--- a/packages/core/include/sycamorelock/core/direct/peers.hpp
+++ b/packages/core/include/sycamorelock/core/direct/peers.hpp
@@ -35,6 +35,8 @@
           const std::vector<std::string>& seeds);
 
     void set_seeds(const std::vector<std::string>& seeds);
+    /// This instance is about to end and aggregates no more if another can.
+    void leave() { leaving_ = true; }
 
     /// Takes a report. Returns false if it is an old one or from a process
     /// that has ended.
@@ -61,7 +63,7 @@
     std::vector<std::string> gossip_targets(time_point now);
     /// The instance that should aggregate a failure domain: of those that live
     /// and stay the one that started first, by the incarnation that each tells.
-    /// Empty if it is this one, or none lives there.
+    /// Empty if it is this one, or none lives there and stays.
     [[nodiscard]] std::string aggregator(time_point now,
                                          domain_id domain) const;
     /// Failure domains of live instances other than the own one.
@@ -107,6 +109,7 @@
     std::uint64_t incarnation_;
     std::set<std::string> seeds_;
     std::uint64_t number_ = 0;
+    bool leaving_ = false;
     std::map<std::string, peer> peers_;
     std::minstd_rand random_;
 };
--- a/packages/core/lib/direct/peers.cpp
+++ b/packages/core/lib/direct/peers.cpp
@@ -163,7 +163,7 @@
     // the next sums.
     const std::string* oldest = nullptr;
     std::uint64_t started = 0;
-    if (domain == domain_)
+    if (domain == domain_ && !leaving_)
     {
         oldest = &self_;
         started = incarnation_;
--- a/packages/core/unittests/direct_fleet_test.cpp
+++ b/packages/core/unittests/direct_fleet_test.cpp
@@ -129,10 +129,8 @@
         world.round();
     cr_expect(world.all[0]->aggregator(world.now, here).empty());
     for (std::size_t i = 2; i < 20; i += 2)
-        cr_expect_str_eq(world.all[i]->aggregator(world.now, here).c_str(),
-                         address(0).c_str());
-    cr_expect_str_eq(world.all[0]->aggregator(world.now, there).c_str(),
-                     address(1).c_str());
+        cr_expect_eq(world.all[i]->aggregator(world.now, here), address(0));
+    cr_expect_eq(world.all[0]->aggregator(world.now, there), address(1));
     cr_expect_eq(world.all[0]->other_domains(world.now).count(there), 1U);
 }
 
@@ -153,12 +151,22 @@
     {
         world.round();
         for (std::size_t i = 4; i < 20; i += 2)
-            cr_assert_str_eq(world.all[i]->aggregator(world.now, here).c_str(),
-                             address(2).c_str(), "round %d", round);
+            cr_assert_eq(world.all[i]->aggregator(world.now, here), address(2),
+                         "round %d", round);
         cr_assert(world.all[2]->aggregator(world.now, here).empty());
     }
-    cr_expect_str_eq(world.all[0]->aggregator(world.now, here).c_str(),
-                     address(2).c_str());
+    cr_expect_eq(world.all[0]->aggregator(world.now, here), address(2));
+}
+
+// Guards against a leaving instance that goes on aggregating: its members have
+// turned to another one, and it takes endpoints for idle until it ends.
+Test(direct_peers, an_instance_that_leaves_turns_to_another_aggregator)
+{
+    small_world world(20);
+    for (int i = 0; i < 40; ++i)
+        world.round();
+    world.all[0]->leave();
+    cr_expect_eq(world.all[0]->aggregator(world.now, here), address(2));
 }
 
 Test(direct_peers, a_report_is_taken_once_and_only_from_the_newest_process)
