A restart heard of by gossip clears that an instance was leaving

Found by looking for the fault of the returned aggregator elsewhere: instances that heard 'leaving' directly and of the next start only from others would have chosen another aggregator than the rest for good. Evidence: the new test failed before (empty instead of the returned instance).

--- a/packages/core/lib/direct/peers.cpp
+++ b/packages/core/lib/direct/peers.cpp
@@ -84,7 +84,10 @@
     known.incarnation = seen.incarnation;
     known.number = seen.heard;
     if (restarted)
+    {
         known.direct_number = 0;
+        known.leaving = false;
+    }
     known.domain = seen.domain;
     known.heard_at = now;
     known.live = true;
--- a/packages/core/unittests/direct_fleet_test.cpp
+++ b/packages/core/unittests/direct_fleet_test.cpp
@@ -169,6 +169,29 @@
     cr_expect_eq(world.all[0]->aggregator(world.now, here), address(2));
 }
 
+// Guards against instances that disagree for good about the aggregator, as some
+// of them remember that it left before it started again.
+Test(direct_peers, an_instance_that_left_and_returned_may_aggregate)
+{
+    peers one(address(0), here, 1, {});
+    exchange_report report;
+    report.sender = address(1);
+    report.domain = there;
+    report.incarnation = 5;
+    report.number = 3;
+    report.leaving = true;
+    cr_assert(one.heard(start, report));
+    cr_assert(one.aggregator(start, there).empty());
+    exchange_report gossip;
+    gossip.sender = address(2);
+    gossip.domain = here;
+    gossip.incarnation = 1;
+    gossip.number = 1;
+    gossip.peers = {{address(1), 6, 1, there}};
+    cr_assert(one.heard(start, gossip));
+    cr_expect_eq(one.aggregator(start, there), address(1));
+}
+
 Test(direct_peers, a_report_is_taken_once_and_only_from_the_newest_process)
 {
     peers one(address(0), here, 1, {});
