What an instance has received is served before it ends

What callers saw: a connection closed or reset without an answer at the end of a drain, though the request had been sent (the likely cause of the stream that ended with status 0 in a rolling restart). Cause: the listener closed over connections that waited to be accepted, and connections between two requests were closed without a look at what had come. The test's message names the failed step and its time; its checks are the same. Works because the wait for a request is cancelled, not its connection closed, and the process ends when all connections have.

--- a/packages/adapters/include/sycamorelock/adapters/caller_server.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/caller_server.hpp
@@ -23,13 +23,18 @@
     caller_server& operator=(const caller_server&) = delete;
 
     void start();
-    /// Stops accepting; connections close after their current answer.
+    /// Takes the connections that wait to be accepted, and no more of them.
     void close_listener();
+    /// Ends connections without a request, unless they have just been opened.
+    /// Others close after their current answer.
+    void end_idle_connections();
     /// Ends the threads. Open connections are cut.
     void stop();
     [[nodiscard]] std::uint16_t port() const;
     /// Requests whose answer is not yet written out.
     [[nodiscard]] std::size_t busy() const;
+    /// Connections from callers.
+    [[nodiscard]] std::size_t open() const;
 
   private:
     class impl;
--- a/packages/adapters/lib/caller_server.cpp
+++ b/packages/adapters/lib/caller_server.cpp
@@ -11,6 +11,9 @@
 namespace
 {
 
+/// Connections taken at the most when the listener closes.
+constexpr int most_waiting = asio::socket_base::max_listen_connections;
+
 /// One traffic thread with its connections to endpoints.
 class worker
 {
@@ -29,8 +32,21 @@
     }
     asio::io_context& context() { return context_; }
     connection_pool& pool() { return pool_; }
+    std::unordered_set<caller_session*>& sessions() { return sessions_; }
+
+    void end_idle_connections()
+    {
+        asio::post(context_,
+                   [this]
+                   {
+                       for (caller_session* session : sessions_)
+                           session->end_if_idle();
+                   });
+    }
 
   private:
+    // Sessions that the context still holds take themselves off the list.
+    std::unordered_set<caller_session*> sessions_;
     // The pool's sockets belong to the context and go first.
     asio::io_context context_{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard_;
@@ -65,10 +81,28 @@
 
     void close_listener()
     {
+        // The kernel resets connections that it has taken and that are not
+        // accepted when the listener closes.
+        error_code error;
+        acceptor_.non_blocking(true, error);
+        for (int i = 0; i < most_waiting && !error; ++i)
+        {
+            worker& chosen = next_worker();
+            tcp::socket socket(chosen.context());
+            acceptor_.accept(socket, error);
+            if (!error)
+                serve(chosen, std::move(socket));
+        }
         error_code ignored;
         acceptor_.close(ignored);
     }
 
+    void end_idle_connections()
+    {
+        for (worker& each : workers_)
+            each.end_idle_connections();
+    }
+
     void stop()
     {
         for (worker& each : workers_)
@@ -80,14 +114,26 @@
         return acceptor_.local_endpoint().port();
     }
     [[nodiscard]] std::size_t busy() const { return busy_.load(); }
+    [[nodiscard]] std::size_t open() const { return open_.load(); }
 
   private:
+    worker& next_worker() { return workers_[turn_++ % workers_.size()]; }
+
+    void serve(worker& chosen, tcp::socket socket)
+    {
+        auto session = std::make_shared<caller_session>(
+            std::move(socket), session_shared{control_, chosen.pool(),
+                                              chosen.sessions(), busy_, open_});
+        asio::co_spawn(
+            chosen.context(), [session] { return session->run(); },
+            asio::detached);
+    }
+
     asio::awaitable<void> accept_loop()
     {
-        std::size_t turn = 0;
         for (;;)
         {
-            worker& chosen = workers_[turn++ % workers_.size()];
+            worker& chosen = next_worker();
             auto [error, socket] =
                 co_await acceptor_.async_accept(chosen.context(), as_result);
             const bool closed = error == asio::error::operation_aborted ||
@@ -96,17 +142,14 @@
                 co_return;
             if (error)
                 continue;
-            auto session = std::make_shared<caller_session>(
-                std::move(socket),
-                session_shared{control_, chosen.pool(), busy_});
-            asio::co_spawn(
-                chosen.context(), [session] { return session->run(); },
-                asio::detached);
+            serve(chosen, std::move(socket));
         }
     }
 
     control_plane& control_;
+    std::size_t turn_ = 0;
     std::atomic<std::size_t> busy_{0};
+    std::atomic<std::size_t> open_{0};
     std::vector<worker> workers_;
     tcp::acceptor acceptor_;
 };
@@ -146,4 +189,14 @@
     return impl_->busy();
 }
 
+void caller_server::end_idle_connections()
+{
+    impl_->end_idle_connections();
+}
+
+std::size_t caller_server::open() const
+{
+    return impl_->open();
+}
+
 } // namespace sycamorelock::adapters
--- a/packages/adapters/lib/caller_session.cpp
+++ b/packages/adapters/lib/caller_session.cpp
@@ -1,6 +1,7 @@
 // Reads requests, waits for decisions and writes answers.
 #include "caller_session.hpp"
 
+#include "drain_limits.hpp"
 #include "request_fields.hpp"
 #include "request_reading.hpp"
 #include "socket_state.hpp"
@@ -81,8 +82,9 @@
 
 caller_session::caller_session(tcp::socket socket, session_shared shared)
     : stream_(std::move(socket)), shared_(shared),
-      decided_(stream_.get_executor())
+      decided_(stream_.get_executor()), opened_at_(now())
 {
+    ++shared_.open;
     error_code ignored;
     stream_.socket().set_option(tcp::no_delay(true), ignored);
 }
@@ -118,26 +120,51 @@
 {
     const auto self = shared_from_this();
     ++shared_.control.traffic().connections;
+    shared_.sessions.insert(this);
     while (co_await serve_one())
     {
     }
+    shared_.sessions.erase(this);
     error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    --shared_.open;
 }
 
-asio::awaitable<bool> caller_session::serve_one()
+void caller_session::end_if_idle()
 {
-    const settings::process_settings& settings = shared_.control.settings();
-    if (buffer_.size() == 0)
+    const bool just_connected =
+        first_request_ && now() - opened_at_ < first_request_patience;
+    if (busy_ || just_connected)
+        return;
+    // Closing would lose a request that has been received and not read yet.
+    ending_ = true;
+    stream_.cancel();
+}
+
+asio::awaitable<bool> caller_session::wait_for_request()
+{
+    for (;;)
     {
+        if (ending_ && look_at(stream_.socket()) != socket_state::readable)
+            co_return false;
         // Idling between requests is not being slow within one.
-        stream_.expires_after(settings.idle_timeout);
+        stream_.expires_after(shared_.control.settings().idle_timeout);
         auto [error, bytes] = co_await stream_.async_read_some(
             buffer_.prepare(read_size), as_result);
-        if (error)
-            co_return false;
         buffer_.commit(bytes);
+        if (!error)
+            co_return true;
+        if (error != asio::error::operation_aborted)
+            co_return false;
     }
+}
+
+asio::awaitable<bool> caller_session::serve_one()
+{
+    if (buffer_.size() == 0 && !co_await wait_for_request())
+        co_return false;
+    busy_ = true;
+    first_request_ = false;
     ++shared_.busy;
     const bool more = co_await [this]() -> asio::awaitable<bool>
     {
@@ -147,7 +174,8 @@
         co_return co_await handle(request.release());
     }();
     --shared_.busy;
-    co_return more;
+    busy_ = false;
+    co_return more && !ending_;
 }
 
 asio::awaitable<bool> caller_session::read(parser& request)
@@ -207,7 +235,7 @@
 
 asio::awaitable<bool> caller_session::handle(caller_request request)
 {
-    keep_ = request.keep_alive() && !shared_.control.leaving();
+    keep_ = request.keep_alive() && !shared_.control.leaving() && !ending_;
     if (request.version() != 11)
     {
         keep_ = false;
--- a/packages/adapters/lib/caller_session.hpp
+++ b/packages/adapters/lib/caller_session.hpp
@@ -6,17 +6,25 @@
 #include <atomic>
 #include <memory>
 #include <optional>
+#include <unordered_set>
 
 namespace sycamorelock::adapters
 {
 
-/// State shared by the sessions of one traffic thread, and the count of
-/// unfinished requests of the server.
+class caller_session;
+
+/// State shared by the sessions of one traffic thread, and the counts of the
+/// server.
 struct session_shared
 {
     control_plane& control;
     connection_pool& pool;
+    /// Sessions of this traffic thread.
+    std::unordered_set<caller_session*>& sessions;
+    /// Unfinished requests of all threads.
     std::atomic<std::size_t>& busy;
+    /// Connections of all threads.
+    std::atomic<std::size_t>& open;
 };
 
 class caller_session : public request_waiter,
@@ -28,6 +36,11 @@
     /// Serves requests until the connection ends.
     asio::awaitable<void> run();
 
+    /// Ends the connection if it is between two requests. A request that has
+    /// arrived already is served before, and a caller that has just connected
+    /// may still send its first one.
+    void end_if_idle();
+
     void deliver(decision what) override;
     [[nodiscard]] asio::any_io_executor executor() override;
 
@@ -35,6 +48,8 @@
     using parser = http::request_parser<http::string_body>;
 
     asio::awaitable<bool> serve_one();
+    /// Waits for the first bytes of a request; returns false if none come.
+    asio::awaitable<bool> wait_for_request();
     asio::awaitable<bool> read(parser& request);
     asio::awaitable<void> answer_unreadable(error_code error, bool timed_out);
     asio::awaitable<bool> handle(caller_request request);
@@ -63,6 +78,11 @@
     bool watching_ = false;
     bool gone_ = false;
     bool keep_ = true;
+    /// The connection ends as soon as no request is at hand.
+    bool ending_ = false;
+    bool busy_ = false;
+    bool first_request_ = true;
+    core::time_point opened_at_;
 };
 
 } // namespace sycamorelock::adapters
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -47,7 +47,7 @@
 request_session::request_session(tcp::socket socket, traffic_context& context,
                                  std::function<void(request_session*)> ended)
     : socket_(std::move(socket)), context_(context), ended_(std::move(ended)),
-      out_(socket_), log_(context)
+      out_(socket_), log_(context), opened_at_(now())
 {
     make_eager(socket_);
 }
@@ -66,38 +66,56 @@
     ended_(this);
 }
 
-void request_session::close_if_idle_since(core::time_point latest)
+void request_session::end_if_idle_since(core::time_point latest)
 {
     if (idle_since_ <= latest)
-        close_if_idle();
+        end_if_idle();
 }
 
-void request_session::close_if_idle()
+void request_session::end_if_idle_and_opened_before(core::time_point latest)
+{
+    if (!first_request_ || opened_at_ < latest)
+        end_if_idle();
+}
+
+void request_session::end_if_idle()
 {
     if (busy_)
         return;
+    // Closing would lose a request that has been received and not read yet.
+    ending_ = true;
     error_code ignored;
-    socket_.close(ignored);
+    socket_.cancel(ignored);
 }
 
-asio::awaitable<bool> request_session::serve_one()
+asio::awaitable<bool> request_session::wait_for_request(milliseconds limit)
 {
-    const auto config = context_.router.config();
-    const core::direct::caller_limits& limits =
-        config ? config->limits : first_limits;
-    if (buffer_.size() == 0)
+    for (;;)
     {
+        if (ending_ && look_at(socket_) != socket_state::readable)
+            co_return false;
         idle_since_ = now();
-        context_.limits.set(limit_, now() + limits.idle_timeout,
-                            [this] { close_if_idle(); });
+        context_.limits.set(limit_, now() + limit, [this] { end_if_idle(); });
         auto [error, bytes] = co_await socket_.async_read_some(
             buffer_.prepare(request_read_size), as_result);
         limit_.lift();
-        if (error)
-            co_return false;
         buffer_.commit(bytes);
+        if (!error)
+            co_return true;
+        if (error != asio::error::operation_aborted)
+            co_return false;
     }
+}
+
+asio::awaitable<bool> request_session::serve_one()
+{
+    const auto config = context_.router.config();
+    const core::direct::caller_limits& limits =
+        config ? config->limits : first_limits;
+    if (buffer_.size() == 0 && !co_await wait_for_request(limits.idle_timeout))
+        co_return false;
     busy_ = true;
+    first_request_ = false;
     keep_ = true;
     out_ = answer_writer(socket_);
     parser request;
@@ -124,7 +142,7 @@
     else
         co_await handle(request.release());
     busy_ = false;
-    co_return keep_ && !context_.leaving && socket_.is_open();
+    co_return keep_ && !context_.leaving && !ending_ && socket_.is_open();
 }
 
 asio::awaitable<void> request_session::answer_unreadable(error_code error)
@@ -184,8 +202,8 @@
 {
     open_request request;
     request.message = std::move(message);
-    keep_ =
-        request.message.keep_alive() && !context_.leaving && !context_.crowded;
+    keep_ = request.message.keep_alive() && !context_.leaving &&
+            !context_.crowded && !ending_;
     out_.keep(keep_);
     request.profile.arrived = now();
     stop_ = stop::none;
--- a/packages/adapters/lib/direct/request_session.hpp
+++ b/packages/adapters/lib/direct/request_session.hpp
@@ -17,10 +17,14 @@
     /// Serves requests until the connection ends.
     asio::awaitable<void> run();
 
-    /// Closes the connection if it is between two requests.
-    void close_if_idle();
+    /// Ends the connection if it is between two requests. A request that has
+    /// arrived already is served before.
+    void end_if_idle();
     /// The same if no request has come since a moment.
-    void close_if_idle_since(core::time_point latest);
+    void end_if_idle_since(core::time_point latest);
+    /// The same, but a caller that connected after a moment may still send its
+    /// first request.
+    void end_if_idle_and_opened_before(core::time_point latest);
 
   private:
     using parser = http::request_parser<http::string_body>;
@@ -34,6 +38,8 @@
     };
 
     asio::awaitable<bool> serve_one();
+    /// Waits for the first bytes of a request; returns false if none come.
+    asio::awaitable<bool> wait_for_request(milliseconds limit);
     asio::awaitable<void> answer_unreadable(error_code error);
     asio::awaitable<void> read_to_the_end();
     asio::awaitable<void> handle(caller_message message);
@@ -83,6 +89,10 @@
     bool watching_ = false;
     bool timed_out_ = false;
     bool busy_ = false;
+    /// The connection ends as soon as no request is at hand.
+    bool ending_ = false;
+    bool first_request_ = true;
+    core::time_point opened_at_;
     core::time_point idle_since_ = core::time_point::max();
     bool keep_ = true;
 };
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -3,6 +3,7 @@
 
 #include "request_session.hpp"
 
+#include "../drain_limits.hpp"
 #include "../prometheus_text.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
@@ -85,12 +86,13 @@
 
     void close(std::function<void()> on_idle)
     {
+        // The kernel resets connections that it has taken and that are not
+        // accepted when the listener closes.
+        accept_waiting(accept_backlog);
         error_code ignored;
         acceptor_.close(ignored);
-        // Closing ends sessions, which leave the set, but not at once.
-        for (request_session* session : sessions_)
-            session->close_if_idle();
         on_idle_ = std::move(on_idle);
+        end_idle_sessions();
     }
 
     [[nodiscard]] core::direct::router& router() { return router_; }
@@ -139,6 +141,9 @@
         acceptor_.async_accept(
             [self = shared_from_this()](error_code error, tcp::socket socket)
             {
+                // One may have been accepted before the listener closed.
+                if (!error)
+                    self->open(std::move(socket));
                 if (!self->acceptor_.is_open())
                     return;
                 if (error)
@@ -146,15 +151,14 @@
                     self->accept_later(error);
                     return;
                 }
-                self->open(std::move(socket));
-                self->accept_waiting();
+                self->accept_waiting(accepts_a_turn - 1);
                 self->accept();
             });
     }
 
-    void accept_waiting()
+    void accept_waiting(int most)
     {
-        for (int i = 1; i < accepts_a_turn; ++i)
+        for (int i = 0; i < most; ++i)
         {
             error_code error;
             tcp::socket socket(io_);
@@ -182,9 +186,16 @@
 
     void close_resting()
     {
-        // Closing ends sessions, which leave the set, but not at once.
+        // Sessions end and leave the set, but not at once.
         for (request_session* session : sessions_)
-            session->close_if_idle_since(now() - resting);
+            session->end_if_idle_since(now() - resting);
+    }
+
+    void end_idle_sessions()
+    {
+        for (request_session* session : sessions_)
+            session->end_if_idle_and_opened_before(now() -
+                                                   first_request_patience);
     }
 
     static std::size_t part_of(std::size_t descriptors, double part)
@@ -254,12 +265,14 @@
             channels_.sweep(at, [this](core::endpoint_id id)
                             { return router_.knows(id); });
         }
-        if (on_idle_ && sessions_.empty())
-        {
-            const auto done = std::move(on_idle_);
-            on_idle_ = nullptr;
-            done();
-        }
+        if (!on_idle_)
+            return;
+        end_idle_sessions();
+        if (!sessions_.empty())
+            return;
+        const auto done = std::move(on_idle_);
+        on_idle_ = nullptr;
+        done();
     }
 
     boost::asio::io_context& io_;
--- a/packages/daemon/lib/daemon.cpp
+++ b/packages/daemon/lib/daemon.cpp
@@ -53,10 +53,15 @@
     void wait_until_idle()
     {
         const bool idle = control_.state().idle() && callers_.busy() == 0;
-        if (idle || adapters::now() >= give_up_at_)
+        if (idle)
+            callers_.end_idle_connections();
+        const bool ended = idle && callers_.open() == 0;
+        if (ended || adapters::now() >= give_up_at_)
         {
-            control_.log().write(adapters::process_event::stopped,
-                                 {{"open", std::to_string(callers_.busy())}});
+            control_.log().write(
+                adapters::process_event::stopped,
+                {{"open", std::to_string(callers_.busy())},
+                 {"connections", std::to_string(callers_.open())}});
             control_.context().stop();
             return;
         }
--- /dev/null
+++ b/test/integration/drain_test.cpp
@@ -0,0 +1,208 @@
+// Promise: what callers have sent to an instance that leaves is answered, also
+// where the instance reads it late.
+#include "direct_fleet.hpp"
+#include "plans.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace standin;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr std::size_t count = 40;
+/// From SIGTERM to a freeze that lasts beyond the time of lingering.
+constexpr milliseconds before_freeze{1000};
+constexpr milliseconds direct_before_freeze{200};
+constexpr milliseconds freeze{1000};
+
+/// Requests over kept connections: one each to begin with, and one more after
+/// a pause.
+class kept_connections
+{
+  public:
+    kept_connections(fleet& running, std::size_t through)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            streams_.emplace_back(context_);
+            streams_.back().connect(
+                endpoint_of(running.at(through).caller_address()));
+        }
+    }
+
+    std::vector<answer> ask(fleet& running, std::size_t through)
+    {
+        std::vector<answer> got(streams_.size());
+        for (std::size_t i = 0; i < streams_.size(); ++i)
+        {
+            call made = running.make_call(through, "north", "planner");
+            made.tokens = 2;
+            asio::co_spawn(
+                context_,
+                [&, i, made]() -> asio::awaitable<void>
+                { got[i] = co_await ask_over(streams_[i], made); },
+                asio::detached);
+        }
+        context_.restart();
+        context_.run();
+        return got;
+    }
+
+  private:
+    asio::io_context context_{1};
+    std::vector<beast::tcp_stream> streams_;
+};
+
+void check_all_answered(const std::vector<answer>& answers)
+{
+    std::size_t unanswered = 0;
+    std::string why;
+    for (const answer& got : answers)
+    {
+        if (got.completed() || got.refused())
+            continue;
+        ++unanswered;
+        why = got.failure;
+    }
+    cr_assert_eq(unanswered, 0, "%zu of %zu, last: %s", unanswered,
+                 answers.size(), why.c_str());
+}
+
+} // namespace
+
+// Guards against connections that are reset because the listener closes before
+// they are accepted.
+Test(drain, connections_that_wait_to_be_accepted_are_served)
+{
+    fleet running(usual_plan(1));
+    running.signal(running.at(0), SIGTERM);
+    std::this_thread::sleep_for(before_freeze);
+    running.signal(running.at(0), SIGSTOP);
+    std::vector<answer> answers;
+    std::thread open([&] { answers = ask_all(streams(running, 0, count, 2)); });
+    std::this_thread::sleep_for(freeze);
+    running.signal(running.at(0), SIGCONT);
+    open.join();
+    check_all_answered(answers);
+    cr_assert(running.wait_exit(running.at(0), std::chrono::seconds(20)));
+}
+
+// Guards against requests that have arrived on a kept connection and are lost
+// because it is closed as idle.
+Test(drain, requests_that_wait_on_kept_connections_are_served)
+{
+    fleet running(usual_plan(1));
+    kept_connections callers(running, 0);
+    check_all_answered(callers.ask(running, 0));
+    running.signal(running.at(0), SIGTERM);
+    std::this_thread::sleep_for(before_freeze);
+    running.signal(running.at(0), SIGSTOP);
+    std::vector<answer> answers;
+    std::thread open([&] { answers = callers.ask(running, 0); });
+    std::this_thread::sleep_for(freeze);
+    running.signal(running.at(0), SIGCONT);
+    open.join();
+    check_all_answered(answers);
+    cr_assert(running.wait_exit(running.at(0), std::chrono::seconds(20)));
+}
+
+// Guards against an instance that never ends because callers keep connections
+// without requests.
+Test(drain, idle_connections_hold_up_no_end)
+{
+    fleet running(usual_plan(1));
+    kept_connections callers(running, 0);
+    running.signal(running.at(0), SIGTERM);
+    // Lingers 1.5 s and drops connections that were never used after 1 s.
+    cr_assert(running.wait_exit(running.at(0), std::chrono::seconds(4)));
+}
+
+namespace
+{
+
+/// The same towards an instance of direct routing.
+std::vector<direct_answer> ask_each(asio::io_context& context,
+                                    std::vector<beast::tcp_stream>& streams,
+                                    direct_fleet& running)
+{
+    std::vector<direct_answer> got(streams.size());
+    for (std::size_t i = 0; i < streams.size(); ++i)
+    {
+        const direct_call made = running.make_call(0, "/look/x");
+        asio::co_spawn(
+            context,
+            [&, i, made]() -> asio::awaitable<void>
+            { co_await ask_over(streams[i], made, got[i]); },
+            asio::detached);
+    }
+    context.restart();
+    context.run();
+    return got;
+}
+
+void check_all_answered(const std::vector<direct_answer>& answers)
+{
+    std::size_t unanswered = 0;
+    for (const direct_answer& got : answers)
+        unanswered += got.status == 200 || got.status == 503 ? 0 : 1;
+    cr_assert_eq(unanswered, 0, "%zu of %zu", unanswered, answers.size());
+}
+
+void wait_for_end(direct_instance& which)
+{
+    cr_assert(wait_for_exit(which.pid, std::chrono::seconds(20), nullptr));
+    which.pid = -1;
+}
+
+} // namespace
+
+// The same where entries decide by themselves.
+Test(drain, connections_that_wait_for_a_direct_instance_are_served)
+{
+    direct_fleet running({});
+    running.wait_ready();
+    kill(running.at(0).pid, SIGTERM);
+    std::this_thread::sleep_for(direct_before_freeze);
+    kill(running.at(0).pid, SIGSTOP);
+    asio::io_context context(1);
+    std::vector<beast::tcp_stream> streams;
+    // More than are accepted in one turn of the event loop.
+    for (std::size_t i = 0; i < 4 * count; ++i)
+    {
+        streams.emplace_back(context);
+        streams.back().connect(endpoint_of(running.at(0).caller_address()));
+    }
+    std::vector<direct_answer> answers;
+    std::thread open([&] { answers = ask_each(context, streams, running); });
+    std::this_thread::sleep_for(freeze);
+    kill(running.at(0).pid, SIGCONT);
+    open.join();
+    check_all_answered(answers);
+    wait_for_end(running.at(0));
+}
+
+Test(drain, requests_that_wait_at_a_direct_instance_are_served)
+{
+    direct_fleet running({});
+    running.wait_ready();
+    asio::io_context context(1);
+    std::vector<beast::tcp_stream> streams;
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        streams.emplace_back(context);
+        streams.back().connect(endpoint_of(running.at(0).caller_address()));
+    }
+    check_all_answered(ask_each(context, streams, running));
+    kill(running.at(0).pid, SIGTERM);
+    std::this_thread::sleep_for(direct_before_freeze);
+    kill(running.at(0).pid, SIGSTOP);
+    std::vector<direct_answer> answers;
+    std::thread open([&] { answers = ask_each(context, streams, running); });
+    std::this_thread::sleep_for(freeze);
+    kill(running.at(0).pid, SIGCONT);
+    open.join();
+    check_all_answered(answers);
+    wait_for_end(running.at(0));
+}
--- a/test/integration/shutdown_test.cpp
+++ b/test/integration/shutdown_test.cpp
@@ -35,8 +35,10 @@
         running.start_and_wait(running.at(i));
         const tally& counted = rest.stop();
         for (const answer& got : answers)
-            cr_assert(got.completed(), "instance %zu: status %u reason %s", i,
-                      got.status, got.reason.c_str());
+            cr_assert(got.completed(),
+                      "instance %zu: status %u reason %s %s after %.3f s", i,
+                      got.status, got.reason.c_str(), got.failure.c_str(),
+                      got.seconds);
         cr_assert_eq(counted.lost, 0, "%ld lost", counted.lost);
         cr_assert_eq(counted.refused_not_run + counted.unknown, 0,
                      "instance %zu: %s", i, counted.reasons_text().c_str());
--- a/test/standins/caller.cpp
+++ b/test/standins/caller.cpp
@@ -53,6 +53,14 @@
     result.executed = text("executed");
 }
 
+/// What failed before an answer began, so that a test can tell a connection
+/// that was refused from one that was closed.
+answer unanswered(answer result, const char* step, error_code error)
+{
+    result.failure = std::string(step) + ": " + error.message();
+    return result;
+}
+
 /// Checks every event of a stream, or the body of a plain answer.
 void check(const call& what, answer& result, bool ended)
 {
@@ -85,20 +93,26 @@
 
 asio::awaitable<answer> ask(call what)
 {
-    answer result;
-    const clock::time_point start = clock::now();
     beast::tcp_stream stream(co_await asio::this_coro::executor);
     stream.expires_after(call_timeout);
     auto [unconnected] =
         co_await stream.async_connect(endpoint_of(what.to), as_result);
     if (unconnected)
-        co_return result;
+        co_return unanswered({}, "connect", unconnected);
+    co_return co_await ask_over(stream, std::move(what));
+}
+
+asio::awaitable<answer> ask_over(beast::tcp_stream& stream, call what)
+{
+    answer result;
+    const clock::time_point start = clock::now();
+    stream.expires_after(call_timeout);
     error_code ignored;
     stream.socket().set_option(tcp::no_delay(true), ignored);
     const request asked = compose(what);
     auto [unsent, sent] = co_await http::async_write(stream, asked, as_result);
     if (unsent)
-        co_return result;
+        co_return unanswered(result, "send", unsent);
     if (what.leave_after.count() > 0)
     {
         co_await sleep_for(what.leave_after);
@@ -109,8 +123,9 @@
     parser.body_limit(boost::none);
     auto [error, bytes] =
         co_await http::async_read_header(stream, buffer, parser, as_result);
+    result.seconds = seconds_since(start);
     if (error)
-        co_return result;
+        co_return unanswered(result, "read header", error);
     result.status = parser.get().result_int();
     result.request_id = std::string(parser.get()["X-Request-Id"]);
     const std::string retry(parser.get()[http::field::retry_after]);
--- a/test/standins/caller.hpp
+++ b/test/standins/caller.hpp
@@ -34,6 +34,8 @@
     long tokens = 0;
     std::string body;
     std::string reason;
+    /// The step that failed and why, if no answer began.
+    std::string failure;
     std::string executed;
     std::string request_id;
     long retry_after = 0;
@@ -44,7 +46,10 @@
     [[nodiscard]] bool refused() const { return !reason.empty(); }
 };
 
+/// Asks over a connection of its own.
 asio::awaitable<answer> ask(call what);
+/// Asks over an open connection.
+asio::awaitable<answer> ask_over(beast::tcp_stream& stream, call what);
 
 /// Runs one call to its end.
 answer ask_now(call what);
