Requests moved to a shard follow it to its next owner

Cause: entries follow only the owner of the shard that moved a request; what waited at, or was on its way to, an owner that lost its shard was dropped, until entries asked again (up to six seconds after they first asked). The unit test failed before. Works because the old owner sends on what was moved to it, and an instance without the shard passes a moved request on once.

--- a/packages/core/include/sycamorelock/core/control_state.hpp
+++ b/packages/core/include/sycamorelock/core/control_state.hpp
@@ -116,6 +116,8 @@
     void connect_peers(moment now);
     /// Owners of the shards of a service that have one.
     [[nodiscard]] std::map<shard_id, instance_id> owners_of(service_id service);
+    /// Sends a request that a scheduler moved to a shard to the owner of that.
+    void pass_on(const enqueue& message);
     void tell_versions(instance_id to);
     [[nodiscard]] config_version version() const;
 
--- a/packages/core/include/sycamorelock/core/fair_queue.hpp
+++ b/packages/core/include/sycamorelock/core/fair_queue.hpp
@@ -106,6 +106,9 @@
     [[nodiscard]] virtual_time next() const;
     [[nodiscard]] virtual_time system_time() const { return system_time_; }
 
+    /// Requests that were moved here from other shards.
+    [[nodiscard]] std::vector<waiting_request> moved_here() const;
+
     [[nodiscard]] std::size_t size() const { return index_.size(); }
     [[nodiscard]] bool empty() const { return index_.empty(); }
     [[nodiscard]] std::size_t size_of(account_id account) const;
--- a/packages/core/include/sycamorelock/core/messages.hpp
+++ b/packages/core/include/sycamorelock/core/messages.hpp
@@ -56,7 +56,8 @@
     std::chrono::milliseconds entry_clock{0};
     /// Set when a scheduler moved the request to another shard.
     bool moved = false;
-    /// Set when the request waited at a previous owner of the shard.
+    /// Set when the request waited at, or was passed on by, a previous owner of
+    /// the shard.
     bool requeued = false;
 };
 
--- a/packages/core/include/sycamorelock/core/shard_scheduler.hpp
+++ b/packages/core/include/sycamorelock/core/shard_scheduler.hpp
@@ -60,11 +60,10 @@
 
     /// Gives waiting requests back before the shard moves to another owner.
     void abandon();
-    /// Tells the service given here, before the shard moves to another owner.
-    void hand_over(std::map<shard_id, instance_id> owners)
-    {
-        exchange_.hand_over(std::move(owners));
-    }
+    /// Tells the service given here, and passes on what other shards moved
+    /// here, before this shard gets another owner. What entries sent here they
+    /// send to the next owner themselves.
+    void hand_over(time_point now, std::map<shard_id, instance_id> owners);
 
     [[nodiscard]] shard_id id() const { return id_; }
     [[nodiscard]] std::size_t backlog() const { return queue_.size(); }
@@ -125,6 +124,9 @@
     void move_work(time_point now);
     void move_to(time_point now, const shard_id& shard, peer_view& peer,
                  const waiting_request& request);
+    /// A waiting request as another shard gets it.
+    [[nodiscard]] enqueue as_moved(time_point now, const shard_id& shard,
+                                   const waiting_request& request);
     void advertise(time_point now, bool due);
     [[nodiscard]] bool peers_have_backlog(time_point now) const;
     [[nodiscard]] virtual_time with_moved(account_id account,
--- a/packages/core/lib/control_state.cpp
+++ b/packages/core/lib/control_state.cpp
@@ -218,7 +218,7 @@
         if (!gone)
             continue;
         // Entries queue anew at the next owner and report what runs.
-        gone->hand_over(owners_of(id.service));
+        gone->hand_over(now.now, owners_of(id.service));
         out_.note(event_number::shard_lost, rendezvous_subject(id));
     }
     connect_peers(now);
@@ -296,9 +296,26 @@
         // owner from gossip and send again.
         if (shard_scheduler* target = scheduler(message.shard))
             target->on_message(now.now, from, message);
+        else if constexpr (std::is_same_v<Message, enqueue>)
+            pass_on(message);
     }
 }
 
+void control_state::pass_on(const enqueue& message)
+{
+    // No entry follows the owner of a shard to which a scheduler moved its
+    // request. Passed on once, as two instances may each hold the other one for
+    // the owner.
+    if (!message.moved || message.requeued)
+        return;
+    const auto owner = directory_.owner(message.shard);
+    if (!owner || *owner == options_.self)
+        return;
+    enqueue again = message;
+    again.requeued = true;
+    out_.send(*owner, again);
+}
+
 void control_state::on(moment now, instance_id from, const grant& message)
 {
     entry_.on_message(now.now, from, message);
--- a/packages/core/lib/fair_queue.cpp
+++ b/packages/core/lib/fair_queue.cpp
@@ -257,6 +257,20 @@
     return result;
 }
 
+std::vector<waiting_request> fair_queue::moved_here() const
+{
+    std::vector<waiting_request> result;
+    for (const turn& each : turns_)
+    {
+        for (const auto& [where, request] : accounts_.at(each.second).requests)
+        {
+            if (request.moved)
+                result.push_back(request);
+        }
+    }
+    return result;
+}
+
 std::vector<waiting_request> fair_queue::expire(time_point now)
 {
     std::vector<waiting_request> expired;
--- a/packages/core/lib/shard_moves.cpp
+++ b/packages/core/lib/shard_moves.cpp
@@ -87,8 +87,9 @@
     // Being out of work here is not idling while requests wait elsewhere: a
     // lift would forgive what the fleet owes the account.
     const bool busy =
-        options_.exchange.enabled && (request.moved || request.requeued ||
-                                      exchange_.waits_elsewhere(now, account));
+        options_.exchange.enabled &&
+        (request.moved || request.requeued ||
+         exchange_.waits_elsewhere(now, account));
     const virtual_time before = queue_.at(account);
     queue_.push(request, busy ? fair_queue::return_from::waiting_elsewhere
                               : fair_queue::return_from::idling);
@@ -191,8 +192,8 @@
     }
 }
 
-void shard_scheduler::move_to(time_point now, const shard_id& shard,
-                              peer_view& peer, const waiting_request& request)
+enqueue shard_scheduler::as_moved(time_point now, const shard_id& shard,
+                                  const waiting_request& request)
 {
     enqueue message;
     message.request = request.id;
@@ -206,6 +207,25 @@
     message.prefix = request.prefix;
     message.entry_clock = entry_clocks_[request.id.entry];
     message.moved = true;
+    return message;
+}
+
+void shard_scheduler::hand_over(time_point now,
+                                std::map<shard_id, instance_id> owners)
+{
+    const auto next = owners.find(id_);
+    if (next != owners.end())
+    {
+        for (const waiting_request& request : queue_.moved_here())
+            out_.send(next->second, as_moved(now, id_, request));
+    }
+    exchange_.hand_over(std::move(owners));
+}
+
+void shard_scheduler::move_to(time_point now, const shard_id& shard,
+                              peer_view& peer, const waiting_request& request)
+{
+    enqueue message = as_moved(now, shard, request);
     forget_moved(request.id);
     moved_[request.id] = {now + options_.moved_for, request.account,
                           request.estimate};
--- a/packages/core/unittests/shard_scheduler_test.cpp
+++ b/packages/core/unittests/shard_scheduler_test.cpp
@@ -33,7 +33,8 @@
         scheduler.on_message(now, peer, known);
     }
 
-    void enqueue_one(account_id account, std::uint64_t number, bool requeued)
+    void enqueue_one(account_id account, std::uint64_t number, bool requeued,
+                     bool moved = false)
     {
         enqueue wanted;
         wanted.request = {instance_id::of("entry"), 1, number};
@@ -43,9 +44,29 @@
         wanted.estimate = cost(100);
         wanted.time_left = time_left;
         wanted.requeued = requeued;
+        wanted.moved = moved;
         scheduler.on_message(now, wanted.request.entry, wanted);
     }
 
+    void peer_tells(std::uint32_t wanted, std::uint32_t backlog,
+                    virtual_time next)
+    {
+        scheduler.on_message(now, peer, advert{other, wanted, backlog, next});
+    }
+
+    /// Requests that were sent to an instance since the last call.
+    std::size_t enqueued_at(instance_id where)
+    {
+        std::size_t count = 0;
+        const auto sent = out.take_messages();
+        const auto found = sent.find(where);
+        if (found == sent.end())
+            return count;
+        for (const peer_message& each : found->second)
+            count += std::holds_alternative<enqueue>(each) ? 1 : 0;
+        return count;
+    }
+
     account_id waited = account_id::of("waited");
     account_id served = account_id::of("served");
     instance_id peer = instance_id::of("peer");
@@ -74,6 +95,18 @@
     cr_assert_eq(owner.scheduler.queue().at(owner.waited).value(), 9000);
 }
 
+// Guards against requests that wait until their entries ask again, seconds
+// later: their entries follow only the owner of the shard that moved them.
+Test(shard_scheduler, what_was_moved_here_goes_to_the_next_owner)
+{
+    new_owner owner;
+    owner.enqueue_one(owner.waited, 1, false, true);
+    owner.enqueue_one(owner.waited, 2, false);
+    const instance_id next = instance_id::of("next");
+    owner.scheduler.hand_over(owner.now, {{owner.shard.id, next}});
+    cr_expect_eq(owner.enqueued_at(next), 1);
+}
+
 // Found by a rolling restart beside load: the rate fell while nobody asked, so
 // the first requests after a pause were refused as too late.
 Test(shard_scheduler, a_pause_does_not_make_the_endpoints_seem_slow)
