An account that is served here follows no peer before a resync

Cause: a scheduler that was cut off compared its account with what its peers serve next, before it had counted what they had served.

--- a/packages/core/include/sycamorelock/core/service_exchange.hpp
+++ b/packages/core/include/sycamorelock/core/service_exchange.hpp
@@ -54,6 +54,13 @@
     [[nodiscard]] bool waits_elsewhere(time_point now,
                                        account_id account) const;
 
+    /// Whether service of peers may not be counted yet, after a start or a
+    /// change of owners.
+    [[nodiscard]] bool resyncing() const
+    {
+        return joining_ || snapshots_due_ > 0;
+    }
+
     void on_report(time_point now, instance_id from,
                    const service_report& message);
     void on_snapshot_request(time_point now, instance_id from);
--- a/packages/core/include/sycamorelock/core/shard_scheduler.hpp
+++ b/packages/core/include/sycamorelock/core/shard_scheduler.hpp
@@ -137,6 +137,8 @@
     [[nodiscard]] std::uint32_t low_water() const;
     [[nodiscard]] std::uint32_t wanted() const;
     void follow_peers(time_point now);
+    /// Whether a request of the account holds a slot here.
+    [[nodiscard]] bool is_served(account_id account) const;
     void enqueue_fairly(time_point now, const waiting_request& request);
     void replace_owner(time_point now, peer_view& view, instance_id owner);
     void follow_owners(time_point now);
--- a/packages/core/lib/shard_moves.cpp
+++ b/packages/core/lib/shard_moves.cpp
@@ -78,11 +78,21 @@
     queue_.raise_system_time(*least);
 }
 
+bool shard_scheduler::is_served(account_id account) const
+{
+    return std::any_of(leases_.begin(), leases_.end(),
+                       [account](const auto& l)
+                       { return l.second.account == account; });
+}
+
 void shard_scheduler::enqueue_fairly(time_point now,
                                      const waiting_request& request)
 {
     const account_id account = request.account;
-    if (queue_.size_of(account) == 0)
+    // While what peers served is not counted yet, an account that is served
+    // here only looks as if it were behind theirs.
+    const bool comparable = !exchange_.resyncing() || !is_served(account);
+    if (queue_.size_of(account) == 0 && comparable)
         follow_peers(now);
     // Being out of work here is not idling while requests wait elsewhere: a
     // lift would forgive what the fleet owes the account.
--- a/packages/core/unittests/shard_scheduler_test.cpp
+++ b/packages/core/unittests/shard_scheduler_test.cpp
@@ -95,6 +95,21 @@
     cr_assert_eq(owner.scheduler.queue().at(owner.waited).value(), 9000);
 }
 
+// Guards against an account that is charged for service that peers gave it: it
+// was lifted to their level before their reports were counted.
+Test(shard_scheduler, what_is_served_here_follows_no_peer_before_a_resync)
+{
+    new_owner owner;
+    owner.enqueue_one(owner.served, 1, false);
+    owner.now += std::chrono::seconds(1);
+    owner.scheduler.tick(owner.now);
+    cr_assert(owner.scheduler.queue().empty());
+    const double before = owner.scheduler.queue().at(owner.served).value();
+    owner.peer_tells(0, 5, virtual_time(20000));
+    owner.enqueue_one(owner.served, 2, false);
+    cr_expect_eq(owner.scheduler.queue().at(owner.served).value(), before);
+}
+
 // Guards against requests that wait until their entries ask again, seconds
 // later: their entries follow only the owner of the shard that moved them.
 Test(shard_scheduler, what_was_moved_here_goes_to_the_next_owner)
