What was moved to a peer counts as waiting there at once

Cause: its next request, at the scheduler that had just moved all others of it to a peer, looked like a return from idling, and was lifted to the others' level. The unit test failed before.

--- a/packages/core/lib/shard_moves.cpp
+++ b/packages/core/lib/shard_moves.cpp
@@ -96,9 +96,10 @@
         follow_peers(now);
     // Being out of work here is not idling while requests wait elsewhere: a
     // lift would forgive what the fleet owes the account.
+    // What was moved from here waits at a peer before its reports say so.
     const bool busy =
         options_.exchange.enabled &&
-        (request.moved || request.requeued ||
+        (request.moved || request.requeued || moved_cost_.contains(account) ||
          exchange_.waits_elsewhere(now, account));
     const virtual_time before = queue_.at(account);
     queue_.push(request, busy ? fair_queue::return_from::waiting_elsewhere
--- a/packages/core/unittests/fairness_test.cpp
+++ b/packages/core/unittests/fairness_test.cpp
@@ -266,3 +266,31 @@
                   gap);
     }
 }
+
+// Guards against an account that is still repaid when the others are done: its
+// debt was forgiven, or its requests had been moved to a shard whose owner no
+// longer had it. The plan and the bound of the test above.
+Test(fairness, what_a_partition_took_is_repaid_within_8_s)
+{
+    constexpr double steady_bound = 2 * 8 * 80 + 0.25 * 24 * 250 / 3;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+    {
+        fake_fleet fleet({.accounts = 3,
+                          .slots = 4,
+                          .seed = seed,
+                          .least_cost = 20,
+                          .most_cost = 80,
+                          .per_cost = std::chrono::milliseconds(4)});
+        fleet.advance(std::chrono::seconds(5));
+        closed_loop work(
+            fleet, {{0, 1, 30, {0}}, {1, 1, 30, {2}}, {2, 1, 90, {0, 2, 4}}});
+        work.run(std::chrono::seconds(2));
+        fleet.cut_domain(2, true);
+        work.run(std::chrono::seconds(8));
+        fleet.cut_domain(2, false);
+        work.run(std::chrono::seconds(8));
+        const double gap = work.run(std::chrono::seconds(5));
+        cr_expect(gap <= steady_bound, "seed %d: %f", static_cast<int>(seed),
+                  gap);
+    }
+}
--- a/packages/core/unittests/shard_scheduler_test.cpp
+++ b/packages/core/unittests/shard_scheduler_test.cpp
@@ -95,6 +95,18 @@
     cr_assert_eq(owner.scheduler.queue().at(owner.waited).value(), 9000);
 }
 
+// Guards against a debt that is forgiven because all requests of the account
+// have just been moved to a peer, whose reports do not say yet that they wait.
+Test(shard_scheduler, what_was_moved_to_a_peer_keeps_its_claim)
+{
+    new_owner owner;
+    owner.enqueue_one(owner.waited, 1, true);
+    owner.peer_tells(1, 0, virtual_time(9000));
+    cr_assert_eq(owner.enqueued_at(owner.peer), 1);
+    owner.enqueue_one(owner.waited, 2, false);
+    cr_expect_eq(owner.scheduler.queue().at(owner.waited).value(), 1000);
+}
+
 // Guards against an account that is charged for service that peers gave it: it
 // was lifted to their level before their reports were counted.
 Test(shard_scheduler, what_is_served_here_follows_no_peer_before_a_resync)
