Closes that never return cost no more threads and sockets

What callers saw: nothing yet; the test of the inbox that closes hung (KNOWN-RED). Cause: nng's thread that frees connections waits for good for a receive of a pull connection that ended while messages came; then no close of the process returns. Each of ours ran on a thread of its own, so links to a peer that is away left a thread and a socket behind with each attempt.

--- a/packages/adapters/lib/nng_link.cpp
+++ b/packages/adapters/lib/nng_link.cpp
@@ -6,6 +6,9 @@
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
 
+#include <condition_variable>
+#include <deque>
+#include <mutex>
 #include <stdexcept>
 #include <thread>
 
@@ -21,15 +24,67 @@
 constexpr nng_duration reconnect_least = 100;
 constexpr nng_duration reconnect_most = 1000;
 
-/// Closes a socket without waiting for it. In nng 1.5 the close of a socket to
-/// which a connection is being set up may never return, and with it hung the
-/// end of an instance, or its control thread.
-/// \param kept what callbacks of the socket use until it is closed.
-void close_in_background(nng_socket socket, std::shared_ptr<void> kept)
+/// Closes sockets one after the other on a thread of its own. In nng 1.5 the
+/// thread that frees connections may wait forever for one that ended while
+/// messages came, and from then on no close of the process returns.
+class socket_closer
 {
-    std::thread([socket, kept = std::move(kept)] { nng_close(socket); })
-        .detach();
-}
+  public:
+    /// Lives as long as the process: its thread may never return.
+    static socket_closer& instance()
+    {
+        static auto* const only = new socket_closer;
+        return *only;
+    }
+
+    /// \param kept what callbacks of the socket use until it is closed.
+    void close(nng_socket socket, std::shared_ptr<void> kept)
+    {
+        const std::lock_guard lock(mutex_);
+        waiting_.push_back({socket, std::move(kept)});
+        more_.notify_one();
+    }
+
+    /// Closes have ceased to return: sockets that are closed stay.
+    [[nodiscard]] bool is_stuck() const
+    {
+        const std::lock_guard lock(mutex_);
+        return waiting_.size() > most_waiting;
+    }
+
+  private:
+    struct item
+    {
+        nng_socket socket{};
+        std::shared_ptr<void> kept;
+    };
+    /// A close takes some ms, and an instance closes a few sockets a second.
+    static constexpr std::size_t most_waiting = 16;
+
+    socket_closer()
+    {
+        std::thread([this] { run(); }).detach();
+    }
+
+    void run()
+    {
+        for (;;)
+        {
+            std::unique_lock lock(mutex_);
+            more_.wait(lock, [this] { return !waiting_.empty(); });
+            const item next = waiting_.front();
+            lock.unlock();
+            nng_close(next.socket);
+            lock.lock();
+            waiting_.pop_front();
+        }
+    }
+
+    mutable std::mutex mutex_;
+    std::condition_variable more_;
+    /// The first one is being closed.
+    std::deque<item> waiting_;
+};
 
 void check(int status, const std::string& what)
 {
@@ -62,14 +117,18 @@
 
 void push_link::connect_anew()
 {
-    close_in_background(socket_, shared_);
+    // The socket goes on dialling by itself. Another one besides would cost
+    // memory and descriptors for good.
+    if (socket_closer::instance().is_stuck())
+        return;
+    socket_closer::instance().close(socket_, shared_);
     shared_ = std::make_shared<shared_state>();
     open();
 }
 
 push_link::~push_link()
 {
-    close_in_background(socket_, shared_);
+    socket_closer::instance().close(socket_, shared_);
 }
 
 void push_link::redial()
@@ -117,7 +176,7 @@
 {
     nng_aio_stop(aio_);
     nng_aio_free(aio_);
-    close_in_background(socket_, nullptr);
+    socket_closer::instance().close(socket_, nullptr);
 }
 
 void pull_inbox::on_receive(void* self)
--- a/packages/adapters/unittests/nng_link_test.cpp
+++ b/packages/adapters/unittests/nng_link_test.cpp
@@ -10,10 +10,15 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
+#include <iterator>
 #include <list>
 #include <memory>
 #include <thread>
 
+#include <nng/protocol/pipeline0/pull.h>
+#include <nng/protocol/pipeline0/push.h>
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -133,6 +138,81 @@
     }
 }
 
+namespace
+{
+
+/// Holds up the thread of nng that frees connections, as a connection that ends
+/// while messages come may do for good.
+class stuck_reaper
+{
+  public:
+    explicit stuck_reaper(const std::string& at)
+    {
+        nng_pull0_open(&inbox_);
+        nng_listen(inbox_, ("tcp://" + at).c_str(), nullptr, 0);
+        nng_push0_open(&link_);
+        nng_pipe_notify(link_, NNG_PIPE_EV_REM_POST, &stuck_reaper::wait, this);
+        nng_dial(link_, ("tcp://" + at).c_str(), nullptr, 0);
+        closing_ = std::thread([this] { nng_close(link_); });
+        while (!stuck_)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    ~stuck_reaper()
+    {
+        released_ = true;
+        closing_.join();
+        nng_close(inbox_);
+    }
+    stuck_reaper(const stuck_reaper&) = delete;
+    stuck_reaper& operator=(const stuck_reaper&) = delete;
+
+  private:
+    static void wait(nng_pipe, nng_pipe_ev, void* self)
+    {
+        auto& held = *static_cast<stuck_reaper*>(self);
+        held.stuck_ = true;
+        while (!held.released_)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+
+    nng_socket inbox_{};
+    nng_socket link_{};
+    std::atomic<bool> stuck_{false};
+    std::atomic<bool> released_{false};
+    std::thread closing_;
+};
+
+/// Entries of a folder of this process in /proc.
+std::ptrdiff_t own_entries(const char* folder)
+{
+    const std::filesystem::directory_iterator all(std::string("/proc/self/") +
+                                                  folder);
+    return std::distance(begin(all), end(all));
+}
+
+} // namespace
+
+// Guards against an instance that opens a thread and a socket more with each
+// attempt to reach a peer that is away, once closes have ceased to return.
+Test(nng_link, closes_that_never_return_cost_no_more_threads, .timeout = 20)
+{
+    const std::string at = own_ip(4) + ":47315";
+    push_link link("127.0.0.1", own_ip(5) + ":47316");
+    link.connect_anew();
+    const stuck_reaper stuck(at);
+    const std::ptrdiff_t threads = own_entries("task");
+    const std::ptrdiff_t files = own_entries("fd");
+    constexpr int attempts = 200;
+    for (int n = 0; n < attempts; ++n)
+    {
+        link.connect_anew();
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    cr_expect_lt(own_entries("task") - threads, 20);
+    // A socket has up to four.
+    cr_expect_lt(own_entries("fd") - files, attempts);
+}
+
 // A link whose connection went silent connects anew without a close.
 Test(nng_link, a_link_dials_anew, .timeout = 20)
 {
