--- a/packages/core/unittests/direct_load_test.cpp
+++ b/packages/core/unittests/direct_load_test.cpp
@@ -225,10 +225,38 @@
                  without);
 }
 
-// Engines read a third of what the operators' figure lets expect. The speed
-// that is learned for each engine corrects every prompt by one factor, whatever
-// its length; what is learned for all tells them apart.
+// Engines read a third of what the operators' figure lets expect. By it alone
+// engines seem to be idle, and what is sent comes late.
 Test(direct_load, engines_slower_than_the_operators_figure_are_learned)
+{
+    world_plan plan = letters_plan();
+    plan.figures.tokens_per_ms = 10;
+    const auto late_share = [](const world_plan& of)
+    {
+        direct_world world(of);
+        world.run(6);
+        world.forget_results();
+        world.run(10);
+        unsigned on_time = 0;
+        unsigned late = 0;
+        for (const char* name : {"statement", "reminder", "subject"})
+        {
+            on_time += world.of_kind(name).on_time;
+            late += world.of_kind(name).late;
+        }
+        return share(late, on_time + late);
+    };
+    const double with = late_share(plan);
+    plan.mechanisms.switch_off(direct::mechanism::learned_figures);
+    const double without = late_share(plan);
+    cr_expect_lt(with, without * 2 / 3, "%.3f with, %.3f without", with,
+                 without);
+}
+
+// The same engines. The speed that is learned for each engine corrects every
+// prompt by one factor, whatever its length; what is learned for all tells them
+// apart.
+Test(direct_load, predictions_for_slower_engines_miss_less)
 {
     world_plan plan = letters_plan();
     plan.figures.tokens_per_ms = 10;
