--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -22,6 +22,9 @@
 /// An instance that got SIGTERM ends within the shutdown time of the test
 /// fleet (5 s) and a second.
 constexpr milliseconds longest_shutdown{6500};
+/// An instance that was frozen ends so soon after it was woken, if its time for
+/// a shutdown is over.
+constexpr milliseconds longest_wake{1500};
 /// Answers may be this much later than the time limit of a route.
 constexpr milliseconds answer_slack{1000};
 /// Bound on new work for an endpoint that leaves, as operators see it.
@@ -245,18 +248,20 @@
         later(end, [this, i] { start(i); });
     }
 
+    /// Also an instance that leaves: its drain may be over when it wakes.
     void freeze(std::size_t i, milliseconds end)
     {
-        if (states_[i] != state::up)
+        const state before = states_[i];
+        if (before != state::up && before != state::leaving)
             return;
         states_[i] = state::frozen;
         disturb(i, end + settle);
         ::kill(fleet_.at(i).pid, SIGSTOP);
         later(end,
-              [this, i]
+              [this, i, before]
               {
                   ::kill(fleet_.at(i).pid, SIGCONT);
-                  states_[i] = state::up;
+                  states_[i] = before;
               });
     }
 
@@ -290,6 +295,8 @@
         static constexpr milliseconds step{100};
         if (!has_ended(i))
         {
+            if (states_[i] == state::frozen)
+                limit = std::max(limit, at + longest_wake);
             if (at < limit)
             {
                 later(at + step, [this, i, at, limit]
