--- a/packages/daemon/lib/main.cpp
+++ b/packages/daemon/lib/main.cpp
@@ -8,6 +8,7 @@
 
 #include <cxxopts.hpp>
 
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -21,6 +22,13 @@
 /// Names the settings file if the command line does not.
 constexpr const char* settings_variable = "SYCAMORELOCK_CONFIG";
 
+/// Until an instance waits for signals itself it has accepted nothing, and may
+/// end at once.
+void end_during_start(int)
+{
+    std::_Exit(exit_ok);
+}
+
 int run(const std::string& text, const std::string& path)
 {
     using namespace sycamorelock;
@@ -39,6 +47,8 @@
 
 int main(int argc, char** argv)
 {
+    std::signal(SIGTERM, end_during_start);
+    std::signal(SIGINT, end_during_start);
     cxxopts::Options options("sycamorelockd", "Router between client accounts "
                                               "and model engines or services");
     options.add_options()(
