--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -25,6 +25,8 @@
 /// An instance that was frozen ends so soon after it was woken, if its time for
 /// a shutdown is over.
 constexpr milliseconds longest_wake{1500};
+/// From the start of a process to its first statement.
+constexpr milliseconds longest_exec{500};
 /// Answers may be this much later than the time limit of a route.
 constexpr milliseconds answer_slack{1000};
 /// Bound on new work for an endpoint that leaves, as operators see it.
@@ -46,13 +48,22 @@
     clock::time_point to;
 };
 
+/// When an instance was last started again and told to end.
+struct launch
+{
+    clock::time_point at;
+    clock::time_point terminated_at;
+    /// Of its log, which all its processes write.
+    std::uintmax_t log_size = 0;
+};
+
 class round_of_soak
 {
   public:
     explicit round_of_soak(const round_plan& plan)
         : plan_(plan), script_(draw_script(plan.seed, plan.length)),
           fleet_(fleet_plan(plan)), states_(plan.instances),
-          told_before_(plan.instances),
+          launches_(plan.instances),
           load_(fleet_, plan.instances, plan.callers, plan.seed)
     {
     }
@@ -284,6 +295,7 @@
         if (states_[i] != state::up || up < 2)
             return;
         states_[i] = state::leaving;
+        launches_[i].terminated_at = clock::now();
         ::kill(fleet_.at(i).pid, SIGTERM);
         // The balancer learns of it from the second question on.
         later(at + milliseconds(200),
@@ -325,29 +337,23 @@
         return true;
     }
 
-    /// How often an instance has told that it started.
-    std::size_t starts_told(std::size_t i)
-    {
-        const std::string log = fleet_.log_of(fleet_.at(i));
-        static constexpr std::string_view line = "\"name\":\"started\"";
-        std::size_t told = 0;
-        for (auto at = log.find(line); at != std::string::npos;
-             at = log.find(line, at + 1))
-            ++told;
-        return told;
-    }
-
-    /// SIGTERM came before the program could take signals: it was started, and
-    /// has not said so. It has accepted nothing.
+    /// SIGTERM came right after the start, before the program could take
+    /// signals: it has not said that it started, and has accepted nothing.
     bool ended_during_start(std::size_t i, int status)
     {
+        const launch& last = launches_[i];
+        const std::string log = fleet_.log_of(fleet_.at(i));
         return WIFSIGNALED(status) && WTERMSIG(status) == SIGTERM &&
-               starts_told(i) == told_before_[i];
+               last.terminated_at - last.at < longest_exec &&
+               log.find("\"name\":\"started\"", last.log_size) ==
+                   std::string::npos;
     }
 
     void start(std::size_t i)
     {
-        told_before_[i] = starts_told(i);
+        launches_[i].at = clock::now();
+        launches_[i].log_size =
+            std::filesystem::file_size(fleet_.at(i).log_file);
         fleet_.start(fleet_.at(i));
         states_[i] = state::up;
         wait_until_ready(i);
@@ -538,8 +544,7 @@
     script script_;
     direct_fleet fleet_;
     std::vector<state> states_;
-    /// Of `starts_told`, when the instance was last started again.
-    std::vector<std::size_t> told_before_;
+    std::vector<launch> launches_;
     callers load_;
     clock::time_point begin_;
     std::multimap<milliseconds, std::function<void()>> due_;
