--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -258,11 +258,11 @@
     const std::size_t drawn = pick(random_);
     candidate best = std::move(from[drawn]);
     // Some of the others' requests are there before this one.
-    std::uniform_real_distribution<double> place(0, expected[drawn]);
-    const double beyond = std::max(0.0, 1 - best.free_slots);
-    const double ahead =
-        std::max(0.0, 1 + place(random_) - offers[drawn].free_slots);
-    best.wait_ms += (ahead - beyond) * best.ms_per_request;
+    std::uniform_real_distribution<double> earlier(0, expected[drawn]);
+    const double waiting_known = std::max(0.0, 1 - best.free_slots);
+    const double waiting =
+        std::max(0.0, 1 + earlier(random_) - offers[drawn].free_slots);
+    best.wait_ms += (waiting - waiting_known) * best.ms_per_request;
     return best;
 }
 
--- a/packages/core/lib/direct/unseen_requests.cpp
+++ b/packages/core/lib/direct/unseen_requests.cpp
@@ -11,13 +11,19 @@
 namespace
 {
 
+/// Answers may seem to hold a slot for no time; a request still adds this, in
+/// ms.
+constexpr double least_ms_per_request = 0.01;
+
 /// Requests that an endpoint takes until the next one costs more than `level`.
 double taken_below(const endpoint_offer& offer, double level)
 {
     if (level < offer.cost_ms)
         return 0;
+    const double ms_per_request =
+        std::max(least_ms_per_request, offer.ms_per_request);
     return std::max(0.0, offer.free_slots +
-                             (level - offer.cost_ms) / offer.ms_per_request);
+                             (level - offer.cost_ms) / ms_per_request);
 }
 
 double taken_below(std::span<const endpoint_offer> offers, double level)
--- a/packages/core/unittests/unseen_requests_test.cpp
+++ b/packages/core/unittests/unseen_requests_test.cpp
@@ -34,6 +34,15 @@
     cr_expect_float_eq(got[2], 0, 1e-6, "%f", got[2]);
 }
 
+// Until an answer has held a slot, requests seem to add no wait.
+Test(unseen_requests, requests_that_add_no_wait_are_spread_too)
+{
+    const std::array<endpoint_offer, 2> offers{{{3, -1, 0}, {3, -1, 0}}};
+    const std::vector<double> got = spread_requests(offers, 10);
+    cr_expect_float_eq(got[0], 5, 1e-6, "%f", got[0]);
+    cr_expect_float_eq(got[1], 5, 1e-6, "%f", got[1]);
+}
+
 Test(unseen_requests, no_endpoint_gets_none)
 {
     cr_expect(spread_requests({}, 3).empty());
