Failing tests of requests to endpoints that have left (DRAIN)

The trace shows the aggregator return before others tell it what it has missed (after 0.7 s), keep the entry for 2.5 s, and its members follow its listing.

The second test is the new contract: an answer with Server-Leaving is not read.

--- /dev/null
+++ b/test/integration/endpoint_news_test.cpp
@@ -0,0 +1,125 @@
+// What endpoints and the store say of an endpoint, and what instances send to
+// it afterwards: leaving.
+#include "direct_checks.hpp"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <thread>
+
+using namespace standin;
+using std::chrono::milliseconds;
+using moment = std::chrono::steady_clock::time_point;
+
+namespace
+{
+
+/// Time for which a leaving endpoint may still be sent requests.
+constexpr milliseconds leaving_bound{3000};
+
+/// Requests that reached an endpoint later than a moment.
+std::ptrdiff_t arrived_after(const direct_engine& at, moment latest)
+{
+    const std::vector<arrival> all = at.arrivals();
+    return std::count_if(all.begin(), all.end(),
+                         [latest](const arrival& each)
+                         { return each.at > latest; });
+}
+
+/// The instance that reads the store for all others; none if several do.
+std::optional<std::size_t> reader_of(direct_fleet& fleet, std::size_t instances)
+{
+    std::optional<std::size_t> reader;
+    for (std::size_t i = 0; i < instances; ++i)
+    {
+        if (!fleet.says(fleet.at(i), "sycamorelock_store_followed 1"))
+            continue;
+        if (reader)
+            return std::nullopt;
+        reader = i;
+    }
+    return reader;
+}
+
+/// The endpoint that ran a request of a fleet with two of each kind.
+direct_engine& used_by(direct_fleet& fleet, const std::string& attempt_id)
+{
+    for (direct_engine* each :
+         {&fleet.engine(0), &fleet.engine(1), &fleet.plain(0), &fleet.plain(1)})
+    {
+        if (each->runs_of(attempt_id) > 0)
+            return *each;
+    }
+    throw std::runtime_error("nobody ran " + attempt_id);
+}
+
+} // namespace
+
+// Guards against requests to an endpoint that has left, from instances that had
+// the store's news all the while: their aggregator alone loses the store for a
+// moment, and keeps the entry in use for all as if it had lapsed in an outage.
+Test(endpoint_news,
+     an_aggregator_that_lost_the_store_keeps_no_endpoint_that_left)
+{
+    direct_plan plan;
+    plan.instances = 15;
+    plan.plain = 3;
+    plan.proxied = true;
+    direct_fleet fleet(plan);
+    std::optional<std::size_t> reader;
+    cr_assert(eventually(
+        [&] { return (reader = reader_of(fleet, plan.instances)).has_value(); },
+        std::chrono::seconds(15)));
+    // The aggregator's first waiting call was one of two seconds; members read
+    // the store themselves for as long after it.
+    std::this_thread::sleep_for(std::chrono::seconds(6));
+    direct_engine& leaving = fleet.plain(0);
+    std::vector<std::size_t> senders;
+    for (std::size_t i = 0; i < plan.instances; ++i)
+    {
+        const direct_call asked = fleet.make_call(i, "/look/1");
+        ask(asked);
+        if (i != *reader && leaving.runs_of(asked.id) > 0)
+            senders.push_back(i);
+    }
+    cr_assert_not(senders.empty());
+
+    fault cut;
+    cut.cut = true;
+    fleet.faults().set("*", fleet.at(*reader).store_address, cut);
+    fleet.store().remove("servers/" + leaving.boot());
+    const moment left = std::chrono::steady_clock::now();
+    // The aggregator is back before others tell it what it has missed.
+    std::this_thread::sleep_for(milliseconds(700));
+    fleet.faults().heal();
+    while (std::chrono::steady_clock::now() < left + std::chrono::seconds(6))
+    {
+        for (const std::size_t each : senders)
+            ask(fleet.make_call(each, "/look/1"));
+    }
+    cr_expect_eq(arrived_after(leaving, left + leaving_bound), 0, "%td",
+                 arrived_after(leaving, left + leaving_bound));
+}
+
+// Guards against requests to an endpoint that has said in an answer that it
+// leaves, while the store's news of it does not come.
+Test(endpoint_news, an_endpoint_that_says_it_leaves_gets_nothing_new)
+{
+    direct_plan plan;
+    plan.instances = 1;
+    direct_fleet fleet(plan);
+    for (const char* path : {"/plan/x", "/look/1"})
+    {
+        // Requests one after the other go to the same endpoint.
+        direct_call first = fleet.make_call(0, path);
+        cr_assert_eq(ask(first).status, 200U);
+        direct_engine& used = used_by(fleet, first.id);
+        used.set_leaving(true);
+        cr_assert_eq(ask(fleet.make_call(0, path)).status, 200U);
+        const moment known = std::chrono::steady_clock::now();
+        for (int i = 0; i < 30; ++i)
+            cr_expect_eq(ask(fleet.make_call(0, path)).status, 200U);
+        cr_expect_eq(arrived_after(used, known), 0, "%td at %s",
+                     arrived_after(used, known), used.boot().c_str());
+    }
+}
--- a/test/standins/direct_engine.cpp
+++ b/test/standins/direct_engine.cpp
@@ -26,20 +26,6 @@
     return size.str() + "\r\n" + bytes + "\r\n";
 }
 
-std::string header(const std::string& attempt_id, const char* status)
-{
-    return std::string("HTTP/1.1 ") + status + "\r\nAttempt-Id: " + attempt_id +
-           "\r\nServer-Seal: seal-" + attempt_id +
-           "\r\nKeep-Alive: timeout=5\r\n";
-}
-
-std::string plain_answer(const std::string& attempt_id)
-{
-    const std::string body = "answer to " + attempt_id;
-    return header(attempt_id, "200 OK") +
-           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-}
-
 long number_of(const request& asked, const char* name)
 {
     const std::string text(asked[name]);
@@ -56,6 +42,32 @@
     return body;
 }
 
+std::string direct_engine::header(const std::string& attempt_id,
+                                  const char* status) const
+{
+    const std::lock_guard lock(mutex_);
+    return std::string("HTTP/1.1 ") + status + "\r\nAttempt-Id: " + attempt_id +
+           "\r\nServer-Seal: seal-" + attempt_id +
+           "\r\nKeep-Alive: timeout=5\r\n" +
+           (leaving_ ? "Server-Leaving: 1\r\n" : "");
+}
+
+std::string direct_engine::plain_answer(const std::string& attempt_id) const
+{
+    const std::string body = "answer to " + attempt_id;
+    return header(attempt_id, "200 OK") +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+response direct_engine::refusal(http::status status) const
+{
+    const std::lock_guard lock(mutex_);
+    response made = make_response(status, "");
+    if (leaving_)
+        made.set("Server-Leaving", "1");
+    return made;
+}
+
 direct_engine::direct_engine(const std::string& address, std::string boot,
                              int events, std::chrono::milliseconds gap)
     : boot_(std::move(boot)), events_(events), gap_(gap),
@@ -94,6 +106,18 @@
     boot_ = boot;
 }
 
+void direct_engine::set_leaving(bool leaving)
+{
+    const std::lock_guard lock(mutex_);
+    leaving_ = leaving;
+}
+
+std::vector<arrival> direct_engine::arrivals() const
+{
+    const std::lock_guard lock(mutex_);
+    return arrivals_;
+}
+
 std::vector<engine_run> direct_engine::runs() const
 {
     const std::lock_guard lock(mutex_);
@@ -173,24 +197,26 @@
         const std::lock_guard lock(mutex_);
         boot = boot_;
         before = answer_before_;
+        arrivals_.push_back({run.attempt_id, std::chrono::steady_clock::now()});
     }
     if (asked["Expect-Instance"] != boot)
     {
-        response other = make_response(http::status::misdirected_request, "");
+        response other = refusal(http::status::misdirected_request);
         other.set("Instance", boot);
         co_return co_await write(stream, std::move(other), asked);
     }
     if (fault == answer_fault::declines)
     {
-        response full = make_response(http::status::service_unavailable, "");
+        response full = refusal(http::status::service_unavailable);
         full.set("Not-Executed", "1");
         co_return co_await write(stream, std::move(full), asked);
     }
     run.at = std::chrono::steady_clock::now();
+    const std::string own_answer = plain_answer(run.attempt_id);
     {
         const std::lock_guard lock(mutex_);
         runs_.push_back(run);
-        answer_before_ = plain_answer(run.attempt_id);
+        answer_before_ = own_answer;
     }
     ++working_;
     bool more = false;
@@ -207,7 +233,7 @@
             asked);
     else if (fault == answer_fault::extra && !before.empty())
     {
-        std::string bytes = before + plain_answer(run.attempt_id);
+        std::string bytes = before + own_answer;
         more =
             co_await send(stream, std::move(bytes), answer_fault::none, whole);
     }
@@ -221,7 +247,7 @@
             const std::lock_guard lock(mutex_);
             left = cut_at_;
         }
-        std::string bytes = plain_answer(run.attempt_id);
+        std::string bytes = own_answer;
         more = co_await send(stream, std::move(bytes), fault, left);
     }
     --working_;
--- a/test/standins/direct_engine.hpp
+++ b/test/standins/direct_engine.hpp
@@ -31,6 +31,13 @@
     extra,
 };
 
+/// A request that reached an endpoint, whether it ran it or not.
+struct arrival
+{
+    std::string attempt_id;
+    std::chrono::steady_clock::time_point at;
+};
+
 struct engine_run
 {
     std::string attempt_id;
@@ -56,6 +63,9 @@
     void set_fault(answer_fault fault, long cut_at = 0, int times = -1);
     /// Another start of the endpoint, which declines what is meant for the old.
     void restart_as(const std::string& boot);
+    /// All answers say from now on that the endpoint leaves, or not.
+    void set_leaving(bool leaving);
+    [[nodiscard]] std::vector<arrival> arrivals() const;
     [[nodiscard]] std::vector<engine_run> runs() const;
     [[nodiscard]] int runs_of(const std::string& attempt_id) const;
     [[nodiscard]] int working() const { return working_; }
@@ -67,6 +77,12 @@
     asio::awaitable<bool> stream_events(beast::tcp_stream& stream,
                                         const engine_run& run,
                                         answer_fault fault);
+    /// Header of an answer of its own to a request, up to its framing.
+    [[nodiscard]] std::string header(const std::string& attempt_id,
+                                     const char* status) const;
+    [[nodiscard]] std::string plain_answer(const std::string& attempt_id) const;
+    /// An answer that tells nothing of a run.
+    [[nodiscard]] response refusal(http::status status) const;
     answer_fault take_fault();
 
     std::string boot_;
@@ -74,6 +90,8 @@
     std::chrono::milliseconds gap_;
     mutable std::mutex mutex_;
     std::vector<engine_run> runs_;
+    std::vector<arrival> arrivals_;
+    bool leaving_ = false;
     answer_fault fault_ = answer_fault::none;
     long cut_at_ = 0;
     int fault_times_ = 0;
