An instance that alone lost the store keeps no endpoint that has left

Cause: the instance's own failed call was taken for an outage of the store, in which entries lapse and are to be kept. Entries lapse only while the store is away from all. Class: a local failure taken for a global one.

Now an outage is a time of 2.6 s without an answer to anyone. Reports tell for how long the store has answered (up_ms); the spans that instances know are united, so one that was cut off learns that the store was there, before or after its return. The grace runs from the first answer to anyone.

--- a/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
@@ -12,6 +12,7 @@
 #include "sycamorelock/core/direct/peers.hpp"
 #include "sycamorelock/core/direct/store_cover.hpp"
 #include "sycamorelock/core/direct/store_knowledge.hpp"
+#include "sycamorelock/core/direct/store_uptime.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -82,6 +83,7 @@
     void learn_caches(core::direct::exchange_report copy);
     void help_with_endpoints(const core::direct::exchange_report& behind);
     void use_store_view(const core::direct::exchange_report& report);
+    void note_uptime(bool outage_ended);
     void adopt(const std::vector<core::direct::endpoint_record>& all,
                const std::string& source);
     /// What this instance has read itself, or with what others confirmed.
@@ -125,6 +127,7 @@
     std::vector<core::direct::service_figures> domain_figures_;
     core::direct::store_cover cover_;
     core::direct::store_knowledge knowledge_;
+    core::direct::store_uptime uptime_;
     /// Digest of the endpoints in the registry.
     std::uint64_t digest_ = 0;
     /// What each member last told of the endpoints that it knows.
--- a/packages/adapters/include/sycamorelock/adapters/direct/store_watch.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/store_watch.hpp
@@ -22,8 +22,8 @@
     /// A complete listing: all pages as one.
     std::function<void(const endpoint_page&)> on_list;
     std::function<void(const store_news&)> on_news;
-    /// The store answers again after it did not.
-    std::function<void()> on_return;
+    /// The store answered. Comes before the news that the answer brings.
+    std::function<void()> on_answer;
 };
 
 class store_watch
--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -44,7 +44,7 @@
              {[this](const std::string& text) { on_config(text, "store"); },
               [this](const endpoint_page& all) { on_list(all); },
               [this](const store_news& news) { on_news(news); },
-              [this] { registry_.platform_returned(now()); }}),
+              [this] { note_uptime(uptime_.answered(now())); }}),
       random_(incarnation ^
               core::instance_id::of(settings.peer_address).value())
 {
@@ -362,6 +362,8 @@
         on_config(report.config->text, report.sender);
     if (!peers_.heard(now(), report))
         return;
+    if (peers_.is_newest(report))
+        note_uptime(uptime_.told(now(), report.store));
     use_store_view(report);
     // A copy for an instance that is behind holds nothing else.
     if (report.part == core::direct::report_part::copy)
@@ -379,6 +381,7 @@
     core::direct::store_view view;
     view.revision = store_.revision();
     view.age = std::chrono::ceil<milliseconds>(at - store_.answered_at());
+    view.up = uptime_.told_at(at);
     view.digest = digest_;
     return view;
 }
@@ -392,6 +395,14 @@
     return view;
 }
 
+void control_plane::note_uptime(bool outage_ended)
+{
+    if (outage_ended)
+        registry_.platform_returned(uptime_.since());
+    else
+        registry_.platform_up_since(uptime_.since());
+}
+
 core::time_point control_plane::endpoints_current_at() const
 {
     return std::max(knowledge_.current_at(store_.answered_at()),
--- a/packages/adapters/lib/direct/store_watch.cpp
+++ b/packages/adapters/lib/direct/store_watch.cpp
@@ -201,12 +201,18 @@
     void succeeded()
     {
         failures_ = 0;
+        const core::duration since_answer = now() - answered_at_;
         answered_at_ = now();
+        listener_.on_answer();
         if (reachable_)
             return;
         reachable_ = true;
-        log_.write(direct_event::store_back, {{"address", address_}});
-        listener_.on_return();
+        log_.write(direct_event::store_back,
+                   {{"address", address_},
+                    {"away_ms",
+                     std::to_string(
+                         std::chrono::duration_cast<milliseconds>(since_answer)
+                             .count())}});
     }
 
     asio::awaitable<void> pause()
--- a/packages/core/include/sycamorelock/core/direct/endpoint_registry.hpp
+++ b/packages/core/include/sycamorelock/core/direct/endpoint_registry.hpp
@@ -67,8 +67,12 @@
     /// Takes a complete listing: entries that it lacks are removed.
     void replace(time_point now, const std::vector<endpoint_record>& all);
 
-    /// Notes that the platform answers again after an outage.
-    void platform_returned(time_point now);
+    /// Notes that the platform answers again after an outage, since `at`.
+    void platform_returned(time_point at);
+
+    /// Notes that the platform has answered others for longer than was known:
+    /// the grace ends sooner.
+    void platform_up_since(time_point at);
 
     /// Drops entries whose grace is over or that are few. To be called after a
     /// whole batch of news. Returns those that were dropped.
@@ -101,6 +105,7 @@
     [[nodiscard]] bool few_went(service_id service) const;
 
     std::map<std::string, endpoint_record> records_;
+    /// When entries that are missing and still in use went.
     std::map<std::string, time_point> going_;
     time_point grace_until_;
     /// Entries of each service at the return of the platform, and those of
--- a/packages/core/include/sycamorelock/core/direct/exchange.hpp
+++ b/packages/core/include/sycamorelock/core/direct/exchange.hpp
@@ -79,6 +79,9 @@
     /// Time since the store's last answer, or since what is known here was
     /// last confirmed by an instance that had one.
     milliseconds age{0};
+    /// Time for which it has answered without an outage, to any instance that
+    /// the sender has heard of.
+    milliseconds up{0};
     /// Digest of the endpoints.
     std::uint64_t digest = 0;
     /// All endpoints, for an instance that is behind.
--- a/packages/core/lib/direct/endpoint_registry.cpp
+++ b/packages/core/lib/direct/endpoint_registry.cpp
@@ -41,7 +41,7 @@
 void endpoint_registry::remove(time_point now, const std::string& boot)
 {
     if (records_.contains(boot))
-        going_.emplace(boot, std::max(now, grace_until_));
+        going_.emplace(boot, now);
 }
 
 endpoint_registry::listing_news
@@ -94,9 +94,14 @@
     return key;
 }
 
-void endpoint_registry::platform_returned(time_point now)
+void endpoint_registry::platform_up_since(time_point at)
 {
-    grace_until_ = now + return_grace;
+    grace_until_ = std::min(grace_until_, at + return_grace);
+}
+
+void endpoint_registry::platform_returned(time_point at)
+{
+    grace_until_ = at + return_grace;
     at_return_.clear();
     dropped_.clear();
     for (const auto& [boot, record] : records_)
@@ -111,7 +116,7 @@
         return found == counts.end() ? 0 : found->second;
     };
     std::size_t went = count(dropped_);
-    for (const auto& [boot, due] : going_)
+    for (const auto& [boot, since] : going_)
         went += records_.at(boot).service == service ? 1 : 0;
     return went <= count(at_return_) / few_divisor;
 }
@@ -119,9 +124,10 @@
 std::vector<std::string> endpoint_registry::expire(time_point now)
 {
     std::vector<std::string> due;
-    for (const auto& [boot, at] : going_)
+    for (const auto& [boot, since] : going_)
     {
-        if (now >= at || few_went(records_.at(boot).service))
+        if (now >= std::max(since, grace_until_) ||
+            few_went(records_.at(boot).service))
             due.push_back(boot);
     }
     for (const std::string& boot : due)
--- a/packages/core/unittests/direct_store_test.cpp
+++ b/packages/core/unittests/direct_store_test.cpp
@@ -3,6 +3,7 @@
 #include "sycamorelock/core/direct/endpoint_registry.hpp"
 #include "sycamorelock/core/direct/store_cover.hpp"
 #include "sycamorelock/core/direct/store_knowledge.hpp"
+#include "sycamorelock/core/direct/store_uptime.hpp"
 #include "sycamorelock/core/direct/unreadable_entries.hpp"
 
 #include <criterion/criterion.h>
@@ -246,3 +247,86 @@
         known.note({std::to_string(i), "bad"});
     cr_expect_eq(known.count(), unreadable_entries::most);
 }
+
+// An instance that alone had lost the store took its return for the end of an
+// outage, and kept endpoints that had left.
+Test(direct_registry, the_grace_ends_when_others_had_the_store_all_the_while)
+{
+    endpoint_registry registry;
+    for (const char* name : {"a", "b", "c"})
+        registry.put(record(name));
+    registry.platform_returned(start);
+    registry.replace(start, {record("b"), record("c")});
+    cr_assert(registry.expire(start).empty());
+    cr_expect(registry.is_kept("a"));
+    registry.platform_up_since(start - seconds(30));
+    cr_expect_eq(registry.expire(start).size(), 1U);
+    cr_expect_not(registry.is_kept("a"));
+    registry.remove(start, "b");
+    cr_expect_eq(registry.expire(start).size(), 1U);
+}
+
+namespace
+{
+
+store_view answered(milliseconds age, milliseconds up)
+{
+    store_view told;
+    told.revision = 7;
+    told.age = age;
+    told.up = up;
+    return told;
+}
+
+} // namespace
+
+Test(direct_uptime, an_outage_is_a_time_without_answers_to_anyone)
+{
+    store_uptime here;
+    cr_expect_not(here.answered(start), "nothing can have lapsed here");
+    // The longest wait of a reader.
+    cr_expect_not(here.answered(start + milliseconds(2500)));
+    cr_expect(here.since() == start);
+    const time_point back = start + seconds(10);
+    cr_expect(here.answered(back));
+    cr_expect(here.since() == back);
+    cr_expect_eq(here.told_at(back + seconds(3)).count(), 3000);
+}
+
+Test(direct_uptime, answers_to_others_show_that_there_was_no_outage)
+{
+    store_uptime while_away;
+    while_away.answered(start);
+    for (int s = 1; s <= 8; ++s)
+        cr_expect_not(while_away.told(
+            start + seconds(s), answered(milliseconds(500), seconds(20))));
+    cr_expect_not(while_away.answered(start + seconds(9)));
+
+    store_uptime afterwards;
+    afterwards.answered(start);
+    cr_expect(afterwards.answered(start + seconds(8)));
+    cr_expect_not(
+        afterwards.told(start + milliseconds(8100),
+                        answered(milliseconds(100), milliseconds(60'000))));
+    cr_expect(afterwards.since() <= start);
+}
+
+// All lose the store and one of them has it back first.
+Test(direct_uptime, the_first_answer_to_anyone_ends_an_outage)
+{
+    store_uptime here;
+    here.answered(start);
+    const time_point now = start + seconds(8);
+    // What was told before the outage tells nothing of its end.
+    cr_expect_not(here.told(now, answered(milliseconds(8000), seconds(20))));
+    cr_expect(here.told(now, answered(milliseconds(50), milliseconds(300))));
+    cr_expect(here.since() == now - milliseconds(300));
+    cr_expect_not(here.answered(now + milliseconds(400)));
+    cr_expect(here.since() == now - milliseconds(300));
+    // An instance that has not read anything.
+    cr_expect_not(here.told(now + seconds(5), {}));
+    store_uptime fresh;
+    cr_expect_eq(fresh.told_at(now).count(), 0);
+    cr_expect_not(fresh.told(now, answered(milliseconds(50), seconds(5))));
+    cr_expect(fresh.since() == now - seconds(5));
+}
--- a/packages/wire/lib/exchange_codec.cpp
+++ b/packages/wire/lib/exchange_codec.cpp
@@ -100,6 +100,7 @@
 {
     out.set_revision(view.revision);
     out.set_age_ms(static_cast<std::uint32_t>(view.age.count()));
+    out.set_up_ms(static_cast<std::uint32_t>(view.up.count()));
     out.set_digest(view.digest);
     out.set_complete(view.endpoints.has_value());
     if (!view.endpoints)
@@ -123,6 +124,7 @@
     direct::store_view view;
     view.revision = item.revision();
     view.age = std::chrono::milliseconds(item.age_ms());
+    view.up = std::chrono::milliseconds(item.up_ms());
     view.digest = item.digest();
     if (!item.complete())
         return view;
--- a/packages/wire/unittests/exchange_codec_test.cpp
+++ b/packages/wire/unittests/exchange_codec_test.cpp
@@ -38,7 +38,11 @@
     direct::endpoint_record endpoint{
         "boot",       core::service_id::of("s"), "10.0.0.9:1", {}, 64, true, 12,
         1790000000123};
-    report.store = {13, std::chrono::milliseconds(40), 99, {{endpoint}}};
+    report.store = {13,
+                    std::chrono::milliseconds(40),
+                    std::chrono::milliseconds(60),
+                    99,
+                    {{endpoint}}};
     report.wants_caches = true;
     return report;
 }
@@ -72,6 +76,7 @@
     cr_expect_float_eq(got.figures.at(0).figures.weight, 80, 1e-6);
     cr_expect_eq(got.store.revision, 13U);
     cr_expect_eq(got.store.age.count(), 40);
+    cr_expect_eq(got.store.up.count(), 60);
     cr_expect_eq(got.store.digest, 99U);
     cr_assert(got.store.endpoints.has_value());
     const core::direct::endpoint_record& endpoint = got.store.endpoints->at(0);
