An endpoint that says in an answer that it leaves gets nothing new

Server-Leaving on an endpoint's answer was not read: an endpoint was known to leave from the store only, so requests went on to it while the store's news was late or away. Cause: the dialect took neither header of an answer that speaks of the endpoint itself. Class: one source of news where the contract has two.

Right before the first byte an attempt asks again whether its endpoint has left since it was chosen (withheld), and whether the engine that a prompt is fetched from has.

--- a/packages/adapters/include/sycamorelock/adapters/direct/dialect.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/dialect.hpp
@@ -61,6 +61,8 @@
     bool not_run = false;
     /// Another endpoint has the address.
     bool wrong_endpoint = false;
+    /// The endpoint says that it leaves.
+    bool leaving = false;
 };
 
 /// An entry of the store that is gone.
--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
@@ -33,6 +33,7 @@
     std::map<std::string, std::uint64_t> refused;
     std::map<std::string, std::uint64_t> retried;
     std::map<std::string, std::uint64_t> ended;
+    std::map<std::string, std::uint64_t> withheld;
     std::map<std::string, std::unique_ptr<service_latency>> latency;
 
     service_latency& of(const std::string& service)
--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -75,6 +75,8 @@
         return "held";
     case unreachable:
         return "unreachable";
+    case withheld:
+        return "withheld";
     case not_run:
         return "not_run";
     case wrong_endpoint:
@@ -124,6 +126,7 @@
     case attempt_end::failed:
     case attempt_end::broken:
         return attempt_outcome::failed;
+    case attempt_end::withheld:
     case attempt_end::abandoned:
         return attempt_outcome::abandoned;
     }
@@ -136,6 +139,8 @@
     attempt_end end = attempt_end::unreachable;
     if (!co_await connect())
         end = stopped("connect");
+    else if (!may_send())
+        end = attempt_end::withheld;
     else
     {
         send();
@@ -187,6 +192,33 @@
                         });
 }
 
+bool attempt::may_send()
+{
+    const auto reason = context_.router.withheld(placed_);
+    if (reason)
+    {
+        why_ = to_string(*reason);
+        ++context_.metrics.withheld[std::string(why_)];
+        return false;
+    }
+    if (placed_.fetch && !context_.router.may_fetch(now(), *placed_.fetch))
+        placed_.fetch.reset();
+    return true;
+}
+
+void attempt::note_endpoint(const answer_meta& answer)
+{
+    const core::direct::endpoint_record& from = placed_.endpoint;
+    if (answer.leaving && context_.router.note_leaving(now(), from))
+        context_.log.write(direct_event::endpoint_draining,
+                           {{"endpoint", from.boot},
+                            {"address", from.address},
+                            {"started_ms", std::to_string(from.started_ms)},
+                            {"revision", std::to_string(from.revision)},
+                            {"source", "answer"},
+                            {"request", request_.meta.attempt_id}});
+}
+
 void attempt::send()
 {
     const caller_message& asked = request_.message;
@@ -234,6 +266,7 @@
             continue;
         const answer_meta meta =
             context_.dialect.read_answer(header, header.result_int());
+        note_endpoint(meta);
         const bool other = !meta.attempt_id.empty() &&
                            meta.attempt_id != request_.meta.attempt_id;
         if (!other)
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -23,6 +23,8 @@
     held,
     /// Nothing was sent: there was no connection.
     unreachable,
+    /// Nothing was sent: the endpoint may not be sent requests any more.
+    withheld,
     /// The endpoint states that it did not run the request.
     not_run,
     /// Another endpoint has the address.
@@ -86,7 +88,11 @@
     using request_out = http::request<http::span_body<const char>>;
 
     asio::awaitable<bool> connect();
+    /// Whether the endpoint may still be sent the request.
+    bool may_send();
     void send();
+    /// Takes in what an answer says of its endpoint.
+    void note_endpoint(const answer_meta& answer);
     /// Header of the answer to this request, which the parser then holds;
     /// nothing if there is none.
     asio::awaitable<std::optional<answer_meta>> read_header();
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -35,10 +35,16 @@
     return std::to_string(count / per_second) + '.' + fraction;
 }
 
+/// Whether anything may have reached an endpoint.
+bool was_sent(attempt_end end)
+{
+    return end != attempt_end::unreachable && end != attempt_end::withheld;
+}
+
 /// Whether an attempt that ended so may have begun to run the request.
 bool may_have_run(attempt_end end)
 {
-    return end != attempt_end::unreachable && end != attempt_end::not_run &&
+    return was_sent(end) && end != attempt_end::not_run &&
            end != attempt_end::wrong_endpoint;
 }
 
@@ -348,7 +354,7 @@
     if (co_await finish(request, tried, end))
         co_return std::nullopt;
     request.may_have_run = request.may_have_run || may_have_run(end);
-    if (end == attempt_end::unreachable)
+    if (!was_sent(end))
         --request.attempts;
     auto next = stop_ == stop::none ? place_again(request, end) : std::nullopt;
     if (next)
@@ -399,9 +405,8 @@
     auto* placed = std::get_if<core::direct::placement_decision>(&decided);
     if (placed == nullptr)
         return std::nullopt;
-    // A connection that never stood brought nothing to any endpoint.
-    if (after != attempt_end::unreachable &&
-        !context_.router.spend_retry(request.service))
+    // What was not sent brought nothing to any endpoint.
+    if (was_sent(after) && !context_.router.spend_retry(request.service))
     {
         ++context_.metrics.refused["retry_budget"];
         return std::nullopt;
--- a/packages/adapters/lib/direct/traffic_metrics.cpp
+++ b/packages/adapters/lib/direct/traffic_metrics.cpp
@@ -47,6 +47,10 @@
              "Answers of this instance's own, by reason.", refused);
     labelled(out, "retried_total", "reason",
              "Attempts repeated elsewhere, by how the attempt ended.", retried);
+    labelled(out, "withheld_total", "reason",
+             "Attempts not sent, by what had become known of the endpoint "
+             "since it was chosen.",
+             withheld);
     labelled(out, "ended_total", "outcome", "Requests ended, by outcome.",
              ended);
     distributions(out, "first_seconds",
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -331,7 +331,7 @@
     std::map<std::string, core::direct::endpoint_record> all)
 {
     asio::post(impl_->io(), [impl = impl_, all = std::move(all)]
-               { impl->router().set_endpoints(all); });
+               { impl->router().set_endpoints(now(), all); });
 }
 
 void traffic_plane::on_report(core::direct::exchange_report report)
--- /dev/null
+++ b/packages/core/include/sycamorelock/core/direct/endpoint_notices.hpp
@@ -0,0 +1,46 @@
+// What endpoints have said of themselves in their answers to this instance.
+#pragma once
+
+#include "sycamorelock/core/direct/endpoint_registry.hpp"
+
+#include <map>
+#include <string>
+
+namespace sycamorelock::core::direct
+{
+
+/// A notice holds for one start of an endpoint at its address. It is kept
+/// beyond the endpoint's entry, which may lapse and return; another start, or
+/// the same one elsewhere, has none.
+class endpoint_notices
+{
+  public:
+    /// An endpoint that is not listed any more has ended long before.
+    static constexpr duration keep_unlisted = std::chrono::minutes(10);
+
+    /// An endpoint said that it leaves. It does not change its mind. Returns
+    /// whether that is new.
+    bool note_leaving(time_point now, const endpoint_record& from);
+
+    [[nodiscard]] bool is_leaving(const endpoint_record& which) const;
+
+    /// Forgets endpoints that have not been listed for long.
+    void keep_listed(time_point now,
+                     const std::map<std::string, endpoint_record>& listed);
+
+  private:
+    struct notice
+    {
+        std::string address;
+        bool leaving = false;
+        time_point listed_at;
+    };
+
+    /// The notice of this start at its address, made if there is none.
+    notice& of(time_point now, const endpoint_record& which);
+    [[nodiscard]] const notice* find(const endpoint_record& which) const;
+
+    std::map<endpoint_id, notice> notices_;
+};
+
+} // namespace sycamorelock::core::direct
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -5,6 +5,7 @@
 #include "sycamorelock/core/direct/account_shares.hpp"
 #include "sycamorelock/core/direct/catalogue.hpp"
 #include "sycamorelock/core/direct/endpoint_health.hpp"
+#include "sycamorelock/core/direct/endpoint_notices.hpp"
 #include "sycamorelock/core/direct/endpoint_registry.hpp"
 #include "sycamorelock/core/direct/engine_estimator.hpp"
 #include "sycamorelock/core/direct/exchange.hpp"
@@ -101,6 +102,16 @@
     abandoned,
 };
 
+/// Why a request is not sent to the endpoint that was chosen for it.
+enum class withheld_reason : std::uint8_t
+{
+    /// The endpoint's entry is gone.
+    gone,
+    /// The endpoint leaves.
+    leaving,
+};
+std::string_view to_string(withheld_reason reason);
+
 struct router_options
 {
     domain_id domain;
@@ -122,7 +133,8 @@
     {
         return config_;
     }
-    void set_endpoints(const std::map<std::string, endpoint_record>& all);
+    void set_endpoints(time_point now,
+                       const std::map<std::string, endpoint_record>& all);
     [[nodiscard]] bool knows(endpoint_id endpoint) const
     {
         return endpoints_.contains(endpoint);
@@ -141,6 +153,17 @@
     /// Draws the service of a request by the weights of its route.
     service_id pick_service(const route& way);
 
+    /// Whether what has become known of an endpoint since it was chosen forbids
+    /// to send the request. To be asked right before the first byte.
+    [[nodiscard]] std::optional<withheld_reason>
+    withheld(const placement_decision& at) const;
+    /// The same for the engine that a prompt's memory is fetched from.
+    [[nodiscard]] bool may_fetch(time_point now, const fetch_plan& plan) const;
+
+    /// An endpoint said in an answer that it leaves. Returns whether that is
+    /// new.
+    bool note_leaving(time_point now, const endpoint_record& from);
+
     /// Takes a repeat from the budget; false if it is spent.
     bool spend_retry(service_id service);
 
@@ -183,10 +206,16 @@
         /// That of the record, which takes a digest to make.
         endpoint_id id;
         endpoint_health health;
+        /// It said so in an answer.
+        bool said_leaving = false;
 
+        [[nodiscard]] bool is_leaving() const
+        {
+            return record.draining || said_leaving;
+        }
         [[nodiscard]] bool is_usable(time_point now) const
         {
-            return !record.draining && !health.set_aside(now);
+            return !is_leaving() && !health.set_aside(now);
         }
     };
     struct candidate
@@ -302,6 +331,7 @@
     std::map<endpoint_id, endpoint_state> endpoints_;
     /// Into `endpoints_`, whose elements stay where they are.
     std::map<service_id, std::vector<const endpoint_state*>> by_service_;
+    endpoint_notices notices_;
     load_ledger ledger_;
     prefix_cache cache_;
     prompt_homes homes_;
--- /dev/null
+++ b/packages/core/lib/direct/endpoint_notices.cpp
@@ -0,0 +1,56 @@
+// Few endpoints have any notice, so all are looked through.
+#include "sycamorelock/core/direct/endpoint_notices.hpp"
+
+namespace sycamorelock::core::direct
+{
+
+endpoint_notices::notice& endpoint_notices::of(time_point now,
+                                               const endpoint_record& which)
+{
+    notice& known = notices_[which.id()];
+    if (known.address != which.address)
+        known = {which.address, false, now};
+    return known;
+}
+
+const endpoint_notices::notice*
+endpoint_notices::find(const endpoint_record& which) const
+{
+    if (notices_.empty())
+        return nullptr;
+    const auto found = notices_.find(which.id());
+    const bool holds =
+        found != notices_.end() && found->second.address == which.address;
+    return holds ? &found->second : nullptr;
+}
+
+bool endpoint_notices::note_leaving(time_point now, const endpoint_record& from)
+{
+    notice& known = of(now, from);
+    const bool is_new = !known.leaving;
+    known.leaving = true;
+    return is_new;
+}
+
+bool endpoint_notices::is_leaving(const endpoint_record& which) const
+{
+    const notice* known = find(which);
+    return known != nullptr && known->leaving;
+}
+
+void endpoint_notices::keep_listed(
+    time_point now, const std::map<std::string, endpoint_record>& listed)
+{
+    if (notices_.empty())
+        return;
+    for (const auto& [boot, record] : listed)
+    {
+        const auto found = notices_.find(record.id());
+        if (found != notices_.end())
+            found->second.listed_at = now;
+    }
+    std::erase_if(notices_, [now](const auto& each)
+                  { return now - each.second.listed_at > keep_unlisted; });
+}
+
+} // namespace sycamorelock::core::direct
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -60,6 +60,18 @@
     return "unknown";
 }
 
+std::string_view to_string(withheld_reason reason)
+{
+    switch (reason)
+    {
+    case withheld_reason::gone:
+        return "gone";
+    case withheld_reason::leaving:
+        return "leaving";
+    }
+    return "unknown";
+}
+
 router::router(router_options options)
     : options_(options), random_(options.seed)
 {
@@ -94,8 +106,36 @@
     }
 }
 
-void router::set_endpoints(const std::map<std::string, endpoint_record>& all)
+std::optional<withheld_reason>
+router::withheld(const placement_decision& at) const
+{
+    const auto found = endpoints_.find(at.hold.endpoint);
+    if (found == endpoints_.end())
+        return withheld_reason::gone;
+    if (found->second.is_leaving())
+        return withheld_reason::leaving;
+    return std::nullopt;
+}
+
+bool router::may_fetch(time_point now, const fetch_plan& plan) const
+{
+    const auto found = endpoints_.find(plan.source);
+    return found != endpoints_.end() && found->second.is_usable(now);
+}
+
+bool router::note_leaving(time_point now, const endpoint_record& from)
+{
+    const bool is_new = notices_.note_leaving(now, from);
+    const auto found = endpoints_.find(from.id());
+    if (found != endpoints_.end())
+        found->second.said_leaving = notices_.is_leaving(found->second.record);
+    return is_new;
+}
+
+void router::set_endpoints(time_point now,
+                           const std::map<std::string, endpoint_record>& all)
 {
+    notices_.keep_listed(now, all);
     std::map<endpoint_id, endpoint_state> next;
     by_service_.clear();
     for (const auto& [boot, record] : all)
@@ -107,6 +147,7 @@
             state = known->second;
         state.record = record;
         state.id = id;
+        state.said_leaving = notices_.is_leaving(record);
     }
     for (const auto& [id, state] : endpoints_)
     {
--- a/packages/core/unittests/direct_fixture.hpp
+++ b/packages/core/unittests/direct_fixture.hpp
@@ -63,7 +63,7 @@
             record.started_ms = started_ms;
             all[name] = record;
         }
-        decides.set_endpoints(all);
+        decides.set_endpoints(start, all);
     }
 
     [[nodiscard]] request_profile ask_for(std::vector<prompt_part> parts,
--- a/packages/core/unittests/direct_router_test.cpp
+++ b/packages/core/unittests/direct_router_test.cpp
@@ -97,7 +97,7 @@
         all[name].service = drafts;
         all[name].draining = true;
     }
-    fix.decides.set_endpoints(all);
+    fix.decides.set_endpoints(start, all);
     const routing_decision none = fix.decide(asked);
     cr_assert_not(is_placed(none));
     cr_expect(std::get<refusal_decision>(none).reason == refusal::no_endpoint);
--- a/test/model/direct_world.cpp
+++ b/test/model/direct_world.cpp
@@ -155,7 +155,7 @@
         all[record.boot] = record;
     }
     for (auto& router : routers_)
-        router->set_endpoints(all);
+        router->set_endpoints(at(now_ms_), all);
 }
 
 void direct_world::set_account_factor(const std::string& name, double factor)
