An older listing of another instance brings back no endpoint that left

An instance whose configuration lags keeps the store's revision that it had before (use_store_view), so a copy that is older than the listing it has taken over since was taken too; an entry that is gone has no revision to compare with, so the endpoint was usable again until the next report.

The registry remembers the newest listing that it took over. Without that guard an_older_listing_brings_back_no_endpoint_that_left fails; direct_store_test passes with it.

--- a/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
@@ -84,7 +84,8 @@
     void help_with_endpoints(const core::direct::exchange_report& behind);
     void use_store_view(const core::direct::exchange_report& report);
     void note_uptime(bool outage_ended);
-    void adopt(const std::vector<core::direct::endpoint_record>& all,
+    void adopt(std::uint64_t revision,
+               const std::vector<core::direct::endpoint_record>& all,
                const std::string& source);
     /// What this instance has read itself, or with what others confirmed.
     [[nodiscard]] core::direct::store_view
--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -440,17 +440,18 @@
     if (!wanted)
         return;
     if (told.endpoints)
-        adopt(*told.endpoints, report.sender);
+        adopt(told.revision, *told.endpoints, report.sender);
     // A version that is on its way is not yet known, so it must be read.
     if (told.digest == digest_ && report.config_version <= version_)
         store_.advance_to(told.revision);
 }
 
-void control_plane::adopt(const std::vector<endpoint_record>& all,
+void control_plane::adopt(std::uint64_t revision,
+                          const std::vector<endpoint_record>& all,
                           const std::string& source)
 {
     const core::direct::endpoint_registry::listing_news news =
-        registry_.adopt(all);
+        registry_.adopt(revision, all);
     for (const endpoint_record& record : news.changed)
         note_endpoint(record, source);
     for (const std::string& boot : news.gone)
--- a/packages/core/include/sycamorelock/core/direct/endpoint_registry.hpp
+++ b/packages/core/include/sycamorelock/core/direct/endpoint_registry.hpp
@@ -86,8 +86,12 @@
         std::vector<std::string> gone;
     };
     /// Takes over the endpoints of an instance that reads the platform's store
-    /// for this one and has applied the grace.
-    listing_news adopt(const std::vector<endpoint_record>& all);
+    /// for this one and has applied the grace. A listing that is older than one
+    /// that was taken over changes nothing: it may have entries that went
+    /// since. \param revision generation of the store up to which the listing
+    /// is right.
+    listing_news adopt(std::uint64_t revision,
+                       const std::vector<endpoint_record>& all);
 
     /// The same for two instances that know the same endpoints.
     [[nodiscard]] std::uint64_t digest() const;
@@ -108,6 +112,7 @@
     /// When entries that are missing and still in use went.
     std::map<std::string, time_point> going_;
     time_point grace_until_;
+    std::uint64_t adopted_revision_ = 0;
     /// Entries of each service at the return of the platform, and those of
     /// them that were dropped within the grace.
     std::map<service_id, std::size_t> at_return_;
--- a/packages/core/lib/direct/endpoint_registry.cpp
+++ b/packages/core/lib/direct/endpoint_registry.cpp
@@ -71,8 +71,12 @@
 }
 
 endpoint_registry::listing_news
-endpoint_registry::adopt(const std::vector<endpoint_record>& all)
+endpoint_registry::adopt(std::uint64_t revision,
+                         const std::vector<endpoint_record>& all)
 {
+    if (revision < adopted_revision_)
+        return {};
+    adopted_revision_ = revision;
     listing_news result = merge(all);
     for (const std::string& boot : result.gone)
     {
--- a/packages/core/unittests/direct_store_test.cpp
+++ b/packages/core/unittests/direct_store_test.cpp
@@ -113,7 +113,7 @@
     member.put(record("b"));
     member.put(record("c"));
     cr_expect_neq(reader.digest(), member.digest());
-    const auto news = member.adopt({record("a"), record("b")});
+    const auto news = member.adopt(1, {record("a"), record("b")});
     cr_assert_eq(news.changed.size(), 1U);
     cr_expect_str_eq(news.changed[0].boot.c_str(), "a");
     cr_assert_eq(news.gone.size(), 1U);
@@ -131,10 +131,23 @@
     member.put(leaves);
     endpoint_record stays = record("a");
     stays.revision = 4;
-    cr_expect(member.adopt({stays}).changed.empty());
+    cr_expect(member.adopt(1, {stays}).changed.empty());
     cr_expect(member.all().at("a").draining);
 }
 
+// Guards against an endpoint that comes back as usable with a listing from
+// before it left: an entry that is gone has no revision to compare with.
+Test(direct_registry, an_older_listing_brings_back_no_endpoint_that_left)
+{
+    endpoint_registry member;
+    member.adopt(10, {record("a"), record("b")});
+    member.adopt(12, {record("b")});
+    cr_expect(member.adopt(11, {record("a"), record("b")}).changed.empty());
+    cr_expect_not(member.all().contains("a"));
+    cr_expect_eq(member.adopt(12, {record("b"), record("c")}).changed.size(),
+                 1U);
+}
+
 Test(direct_cover, a_silent_aggregator_or_an_old_answer_covers_nothing)
 {
     store_cover cover;
