An endpoint's wish for rest is read and logged

Retry-After of an endpoint's 503 was not read, so nothing told when an endpoint had asked for rest. No decision changes. dialect_test and events_test pass.

--- a/packages/adapters/include/sycamorelock/adapters/direct/dialect.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/dialect.hpp
@@ -63,6 +63,9 @@
     bool wrong_endpoint = false;
     /// The endpoint says that it leaves.
     bool leaving = false;
+    /// The endpoint wants no requests from this instance for so long; zero if
+    /// it does not say so.
+    milliseconds rest{0};
 };
 
 /// An entry of the store that is gone.
--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -66,6 +66,7 @@
     endpoint_gone = 3103,
     entry_unreadable = 3104,
     endpoint_missing = 3105,
+    endpoint_rests = 3106,
     peers_changed = 3201,
     link_renewed = 3202,
     config_passed_on = 3203,
--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -217,6 +217,14 @@
                             {"revision", std::to_string(from.revision)},
                             {"source", "answer"},
                             {"request", request_.meta.attempt_id}});
+    if (answer.rest.count() == 0)
+        return;
+    ++context_.metrics.rests_asked;
+    context_.log.write(direct_event::endpoint_rests,
+                       {{"endpoint", from.boot},
+                        {"address", from.address},
+                        {"asked_ms", std::to_string(answer.rest.count())},
+                        {"request", request_.meta.attempt_id}});
 }
 
 void attempt::send()
--- a/packages/adapters/lib/direct/traffic_metrics.cpp
+++ b/packages/adapters/lib/direct/traffic_metrics.cpp
@@ -39,6 +39,8 @@
            caller_connections);
     single(out, "endpoint_connects_total", "counter",
            "Connections opened to endpoints.", endpoint_connects);
+    single(out, "endpoint_rests_total", "counter",
+           "Answers of endpoints that asked for rest.", rests_asked);
     single(out, "reports_sent_total", "counter",
            "Reports made for other instances.", reports_sent);
     single(out, "reports_received_total", "counter",
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -125,6 +125,9 @@
     event_kind{3105, info, "endpoint_missing",
                "The entry of an endpoint is missing after an outage of the "
                "store; it stays in use until it is gone for sure."},
+    event_kind{3106, info, "endpoint_rests",
+               "An endpoint turned a request away and wants none from this "
+               "instance for a time."},
     event_kind{3201, info, "peers_changed",
                "The number of other instances heard lately changed."},
     event_kind{3202, info, "link_renewed",
