--- a/test/integration/endpoint_news_test.cpp
+++ b/test/integration/endpoint_news_test.cpp
@@ -123,3 +123,74 @@
                      arrived_after(used, known), used.boot().c_str());
     }
 }
+
+// Guards against requests to an endpoint that has turned one away and asked for
+// rest: first attempts, and repeats after the refusal of another endpoint.
+Test(endpoint_news, an_endpoint_that_asked_for_rest_gets_none_until_it_ends)
+{
+    static constexpr std::ptrdiff_t most_in_rest = 2;
+    direct_plan plan;
+    plan.instances = 1;
+    direct_fleet fleet(plan);
+    for (const char* path : {"/plan/x", "/look/1"})
+    {
+        direct_call first = fleet.make_call(0, path);
+        cr_assert_eq(ask(first).status, 200U);
+        direct_engine& used = used_by(fleet, first.id);
+        used.set_rest("3");
+        direct_call second = fleet.make_call(0, path);
+        cr_assert_eq(ask(second).status, 200U, "another endpoint is free");
+        direct_engine& other = used_by(fleet, second.id);
+        const moment turned_away = std::chrono::steady_clock::now();
+        std::this_thread::sleep_for(milliseconds(500));
+        used.set_rest("");
+        other.set_fault(answer_fault::declines);
+        const moment counted = std::chrono::steady_clock::now();
+        while (std::chrono::steady_clock::now() <
+               turned_away + milliseconds(2900))
+        {
+            ask(fleet.make_call(0, path));
+            std::this_thread::sleep_for(milliseconds(20));
+        }
+        cr_expect_leq(arrived_after(used, counted), most_in_rest, "%td at %s",
+                      arrived_after(used, counted), used.boot().c_str());
+        std::this_thread::sleep_for(milliseconds(200));
+        cr_expect_eq(ask(fleet.make_call(0, path)).status, 200U,
+                     "the rest is over");
+        other.set_fault(answer_fault::none);
+    }
+}
+
+// Guards against requests that go round all endpoints of a service while all of
+// them rest, and against callers that come back while they still do.
+Test(endpoint_news, when_all_endpoints_rest_callers_are_told_until_when)
+{
+    direct_plan plan;
+    plan.instances = 1;
+    direct_fleet fleet(plan);
+    for (std::size_t i = 0; i < plan.plain; ++i)
+        fleet.plain(i).set_rest("2");
+    const moment begin = std::chrono::steady_clock::now();
+    const direct_answer turned_away = ask(fleet.make_call(0, "/look/1"));
+    cr_expect_eq(turned_away.status, 503U);
+    const moment known = std::chrono::steady_clock::now();
+    const direct_answer refused = ask(fleet.make_call(0, "/look/1"));
+    cr_expect_eq(refused.status, 503U);
+    cr_expect_lt(refused.seconds, 0.1);
+    for (std::size_t i = 0; i < plan.plain; ++i)
+    {
+        fleet.plain(i).set_rest("");
+        cr_expect_eq(arrived_after(fleet.plain(i), begin), 1);
+        cr_expect_eq(arrived_after(fleet.plain(i), known), 0);
+    }
+    for (const direct_answer* each : {&turned_away, &refused})
+    {
+        cr_expect_geq(std::stod(each->retry_after), 1.8, "%s",
+                      each->retry_after.c_str());
+        cr_expect_leq(std::stod(each->retry_after), 3.0, "%s",
+                      each->retry_after.c_str());
+    }
+    std::this_thread::sleep_for(
+        std::chrono::duration<double>(std::stod(refused.retry_after)));
+    cr_expect_eq(ask(fleet.make_call(0, "/look/1")).status, 200U);
+}
--- a/test/standins/direct_engine.cpp
+++ b/test/standins/direct_engine.cpp
@@ -112,6 +112,12 @@
     leaving_ = leaving;
 }
 
+void direct_engine::set_rest(const std::string& retry_after)
+{
+    const std::lock_guard lock(mutex_);
+    rest_ = retry_after;
+}
+
 std::vector<arrival> direct_engine::arrivals() const
 {
     const std::lock_guard lock(mutex_);
@@ -193,10 +199,12 @@
     const answer_fault fault = take_fault();
     std::string boot;
     std::string before;
+    std::string rest;
     {
         const std::lock_guard lock(mutex_);
         boot = boot_;
         before = answer_before_;
+        rest = rest_;
         arrivals_.push_back({run.attempt_id, std::chrono::steady_clock::now()});
     }
     if (asked["Expect-Instance"] != boot)
@@ -205,10 +213,12 @@
         other.set("Instance", boot);
         co_return co_await write(stream, std::move(other), asked);
     }
-    if (fault == answer_fault::declines)
+    if (fault == answer_fault::declines || !rest.empty())
     {
         response full = refusal(http::status::service_unavailable);
         full.set("Not-Executed", "1");
+        if (!rest.empty())
+            full.set(http::field::retry_after, rest);
         co_return co_await write(stream, std::move(full), asked);
     }
     run.at = std::chrono::steady_clock::now();
--- a/test/standins/direct_engine.hpp
+++ b/test/standins/direct_engine.hpp
@@ -63,6 +63,9 @@
     void set_fault(answer_fault fault, long cut_at = 0, int times = -1);
     /// Another start of the endpoint, which declines what is meant for the old.
     void restart_as(const std::string& boot);
+    /// Turns requests away and asks for rest, with this text; an empty one ends
+    /// that.
+    void set_rest(const std::string& retry_after);
     /// All answers say from now on that the endpoint leaves, or not.
     void set_leaving(bool leaving);
     [[nodiscard]] std::vector<arrival> arrivals() const;
@@ -92,6 +95,7 @@
     std::vector<engine_run> runs_;
     std::vector<arrival> arrivals_;
     bool leaving_ = false;
+    std::string rest_;
     answer_fault fault_ = answer_fault::none;
     long cut_at_ = 0;
     int fault_times_ = 0;
