An endpoint that asks for rest gets no request until the rest ends

Cause: Retry-After of an endpoint's 503 was not read; a refusal only raised its failure rate, which fades. Class: a contract's answer that was dropped at the boundary.

endpoint_notices keeps the rest for that start at that address; an endpoint that rests is no candidate, for first attempts, repeats and fetches, and an attempt asks again right before its first byte. More than 60 s counts as 60 s. If all endpoints of a service that do not leave rest, callers are refused at once (resting) and told when the first rest ends, also after a failed attempt.

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -194,7 +194,7 @@
 
 bool attempt::may_send()
 {
-    const auto reason = context_.router.withheld(placed_);
+    const auto reason = context_.router.withheld(now(), placed_);
     if (reason)
     {
         why_ = to_string(*reason);
@@ -219,6 +219,7 @@
                             {"request", request_.meta.attempt_id}});
     if (answer.rest.count() == 0)
         return;
+    context_.router.note_rest(now(), from, answer.rest);
     ++context_.metrics.rests_asked;
     context_.log.write(direct_event::endpoint_rests,
                        {{"endpoint", from.boot},
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -450,8 +450,9 @@
         log_.ended(request, to_string(last), 502);
         co_return;
     }
+    const auto rest = context_.router.rest_pause(now(), request.service);
     co_await answer_problem(http::status::service_unavailable, to_string(last),
-                            soon);
+                            rest.value_or(soon));
     log_.ended(request, to_string(last), 503);
 }
 
--- a/packages/core/include/sycamorelock/core/direct/endpoint_notices.hpp
+++ b/packages/core/include/sycamorelock/core/direct/endpoint_notices.hpp
@@ -9,6 +9,8 @@
 namespace sycamorelock::core::direct
 {
 
+using std::chrono::milliseconds;
+
 /// A notice holds for one start of an endpoint at its address. It is kept
 /// beyond the endpoint's entry, which may lapse and return; another start, or
 /// the same one elsewhere, has none.
@@ -24,6 +26,18 @@
 
     [[nodiscard]] bool is_leaving(const endpoint_record& which) const;
 
+    /// Longest rest that is granted: an absurd wish must not take an endpoint
+    /// away for good.
+    static constexpr milliseconds longest_rest{60'000};
+
+    /// An endpoint turned a request away and wants none for a time. A shorter
+    /// wish does not end an earlier one.
+    void note_rest(time_point now, const endpoint_record& from,
+                   milliseconds asked);
+
+    /// When the endpoint's rest ends; in the past if there is none.
+    [[nodiscard]] time_point rests_until(const endpoint_record& which) const;
+
     /// Forgets endpoints that have not been listed for long.
     void keep_listed(time_point now,
                      const std::map<std::string, endpoint_record>& listed);
@@ -33,6 +47,7 @@
     {
         std::string address;
         bool leaving = false;
+        time_point rests_until;
         time_point listed_at;
     };
 
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -54,6 +54,8 @@
 {
     /// No endpoint of the service is known or usable.
     no_endpoint,
+    /// All endpoints that do not leave have asked for rest.
+    resting,
     /// The first token would come too late.
     overloaded,
     /// The account asks for more than its share of a busy pool.
@@ -109,6 +111,8 @@
     gone,
     /// The endpoint leaves.
     leaving,
+    /// The endpoint has asked for rest.
+    resting,
 };
 std::string_view to_string(withheld_reason reason);
 
@@ -156,13 +160,21 @@
     /// Whether what has become known of an endpoint since it was chosen forbids
     /// to send the request. To be asked right before the first byte.
     [[nodiscard]] std::optional<withheld_reason>
-    withheld(const placement_decision& at) const;
+    withheld(time_point now, const placement_decision& at) const;
     /// The same for the engine that a prompt's memory is fetched from.
     [[nodiscard]] bool may_fetch(time_point now, const fetch_plan& plan) const;
 
     /// An endpoint said in an answer that it leaves. Returns whether that is
     /// new.
     bool note_leaving(time_point now, const endpoint_record& from);
+    /// An endpoint turned a request away and wants none for a time.
+    void note_rest(time_point now, const endpoint_record& from,
+                   milliseconds asked);
+    /// After which time a caller that could not be served may come back, if all
+    /// endpoints of the service that do not leave rest: each caller after
+    /// another one, and not before the first rest ends.
+    [[nodiscard]] std::optional<milliseconds> rest_pause(time_point now,
+                                                         service_id service);
 
     /// Takes a repeat from the budget; false if it is spent.
     bool spend_retry(service_id service);
@@ -208,14 +220,20 @@
         endpoint_health health;
         /// It said so in an answer.
         bool said_leaving = false;
+        /// It has asked for rest until then.
+        time_point rests_until;
 
         [[nodiscard]] bool is_leaving() const
         {
             return record.draining || said_leaving;
         }
+        [[nodiscard]] bool is_resting(time_point now) const
+        {
+            return now < rests_until;
+        }
         [[nodiscard]] bool is_usable(time_point now) const
         {
-            return !is_leaving() && !health.set_aside(now);
+            return !is_leaving() && !is_resting(now) && !health.set_aside(now);
         }
     };
     struct candidate
@@ -313,6 +331,8 @@
     refusal_decision refuse(refusal reason, double pause_ms, double wait_ms);
     refusal_decision refuse_for_load(const request_profile& asked,
                                      double wait_ms, double allowed_ms);
+    refusal_decision refuse_without_endpoint(time_point now,
+                                             service_id service);
     refusal_decision refuse_far_beyond(const request_profile& asked);
     /// Tokens of prompts that an endpoint has room for; 0 if it is not known
     /// or no engine.
--- a/packages/core/lib/direct/endpoint_notices.cpp
+++ b/packages/core/lib/direct/endpoint_notices.cpp
@@ -1,6 +1,8 @@
 // Few endpoints have any notice, so all are looked through.
 #include "sycamorelock/core/direct/endpoint_notices.hpp"
 
+#include <algorithm>
+
 namespace sycamorelock::core::direct
 {
 
@@ -9,7 +11,7 @@
 {
     notice& known = notices_[which.id()];
     if (known.address != which.address)
-        known = {which.address, false, now};
+        known = {which.address, false, time_point(), now};
     return known;
 }
 
@@ -38,6 +40,20 @@
     return known != nullptr && known->leaving;
 }
 
+void endpoint_notices::note_rest(time_point now, const endpoint_record& from,
+                                 milliseconds asked)
+{
+    notice& known = of(now, from);
+    known.rests_until =
+        std::max(known.rests_until, now + std::min(asked, longest_rest));
+}
+
+time_point endpoint_notices::rests_until(const endpoint_record& which) const
+{
+    const notice* known = find(which);
+    return known == nullptr ? time_point() : known->rests_until;
+}
+
 void endpoint_notices::keep_listed(
     time_point now, const std::map<std::string, endpoint_record>& listed)
 {
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -4,6 +4,7 @@
 #include "sycamorelock/core/direct/peers.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sycamorelock::core::direct
 {
@@ -50,6 +51,8 @@
     {
     case refusal::no_endpoint:
         return "no_endpoint";
+    case refusal::resting:
+        return "resting";
     case refusal::overloaded:
         return "overloaded";
     case refusal::beyond_share:
@@ -68,6 +71,8 @@
         return "gone";
     case withheld_reason::leaving:
         return "leaving";
+    case withheld_reason::resting:
+        return "resting";
     }
     return "unknown";
 }
@@ -107,13 +112,15 @@
 }
 
 std::optional<withheld_reason>
-router::withheld(const placement_decision& at) const
+router::withheld(time_point now, const placement_decision& at) const
 {
     const auto found = endpoints_.find(at.hold.endpoint);
     if (found == endpoints_.end())
         return withheld_reason::gone;
     if (found->second.is_leaving())
         return withheld_reason::leaving;
+    if (found->second.is_resting(now))
+        return withheld_reason::resting;
     return std::nullopt;
 }
 
@@ -132,6 +139,39 @@
     return is_new;
 }
 
+void router::note_rest(time_point now, const endpoint_record& from,
+                       milliseconds asked)
+{
+    notices_.note_rest(now, from, asked);
+    const auto found = endpoints_.find(from.id());
+    if (found != endpoints_.end())
+        found->second.rests_until = notices_.rests_until(found->second.record);
+}
+
+std::optional<milliseconds> router::rest_pause(time_point now,
+                                               service_id service)
+{
+    const auto listed = by_service_.find(service);
+    std::optional<time_point> first_end;
+    if (listed == by_service_.end())
+        return std::nullopt;
+    for (const endpoint_state* state : listed->second)
+    {
+        if (state->is_leaving())
+            continue;
+        if (!state->is_resting(now))
+            return std::nullopt;
+        if (!first_end || state->rests_until < *first_end)
+            first_end = state->rests_until;
+    }
+    if (!first_end)
+        return std::nullopt;
+    // Spread, so that not all callers come at the moment at which it ends.
+    std::uniform_real_distribution<double> spread(1, 1.25);
+    return milliseconds(static_cast<milliseconds::rep>(
+        std::ceil(to_ms(*first_end - now) * spread(random_))));
+}
+
 void router::set_endpoints(time_point now,
                            const std::map<std::string, endpoint_record>& all)
 {
@@ -148,6 +188,7 @@
         state.record = record;
         state.id = id;
         state.said_leaving = notices_.is_leaving(record);
+        state.rests_until = notices_.rests_until(record);
     }
     for (const auto& [id, state] : endpoints_)
     {
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -318,6 +318,16 @@
     return made;
 }
 
+refusal_decision router::refuse_without_endpoint(time_point now,
+                                                 service_id service)
+{
+    static constexpr milliseconds soon{500};
+    const std::optional<milliseconds> pause = rest_pause(now, service);
+    if (pause)
+        return {refusal::resting, *pause, 0};
+    return {refusal::no_endpoint, soon, 0};
+}
+
 refusal_decision router::refuse_far_beyond(const request_profile& asked)
 {
     // What the account got lately fades; until it is at the limit again, new
@@ -335,9 +345,8 @@
     if (now >= asked.deadline)
         return refusal_decision{refusal::too_late, milliseconds(0), 0};
     const service* kind = find_service(wanted);
-    static constexpr milliseconds soon{500};
     if (kind == nullptr)
-        return refusal_decision{refusal::no_endpoint, soon, 0};
+        return refuse_without_endpoint(now, wanted);
     const double allowed = repeated ? std::numeric_limits<double>::infinity()
                                     : std::min(longest_wait(asked, *kind),
                                                to_ms(asked.deadline - now));
@@ -350,7 +359,7 @@
     std::optional<candidate> best =
         choose(of, usable(now, asked, *kind, tried));
     if (!best)
-        return refusal_decision{refusal::no_endpoint, soon, 0};
+        return refuse_without_endpoint(now, wanted);
     // Not sent to an engine with a shorter wait that would read everything
     // again: under load that takes more from others than a refusal does.
     admission& admitted = admissions_[kind->id];
--- a/packages/core/unittests/direct_notices_test.cpp
+++ b/packages/core/unittests/direct_notices_test.cpp
@@ -111,18 +111,19 @@
 {
     fixture fix;
     const placement_decision placed = fix.place();
-    cr_expect_not(fix.decides.withheld(placed).has_value());
+    cr_expect_not(fix.decides.withheld(start, placed).has_value());
     fix.decides.note_leaving(start, placed.endpoint);
-    cr_expect(fix.decides.withheld(placed) == withheld_reason::leaving);
+    cr_expect(fix.decides.withheld(start, placed) == withheld_reason::leaving);
 
     fixture listed;
     const placement_decision drained = listed.place();
     endpoint_record draining = drained.endpoint;
     draining.draining = true;
     listed.decides.set_endpoints(start, {{draining.boot, draining}});
-    cr_expect(listed.decides.withheld(drained) == withheld_reason::leaving);
+    cr_expect(listed.decides.withheld(start, drained) ==
+              withheld_reason::leaving);
     listed.decides.set_endpoints(start, {});
-    cr_expect(listed.decides.withheld(drained) == withheld_reason::gone);
+    cr_expect(listed.decides.withheld(start, drained) == withheld_reason::gone);
 }
 
 Test(direct_notices, nothing_is_fetched_from_an_engine_that_leaves)
@@ -148,3 +149,84 @@
     cr_expect(refused.reason == refusal::no_endpoint);
     cr_expect_gt(refused.retry_after.count(), 0);
 }
+
+// Guards against requests to an endpoint that has asked for rest: first ones,
+// repeats, and those that wait for a connection.
+Test(direct_notices, an_endpoint_that_rests_is_not_chosen_until_its_rest_ends)
+{
+    fixture fix;
+    const endpoint_record one = record("one", "one:1");
+    const placement_decision waiting = fix.place();
+    fix.decides.note_rest(start, waiting.endpoint, milliseconds(3000));
+    const auto at = [](int ms) { return start + milliseconds(ms); };
+    cr_expect(fix.decides.withheld(at(2999), waiting) ==
+              withheld_reason::resting);
+    cr_expect_not(fix.decides.withheld(at(3000), waiting).has_value());
+    for (const int ms : {0, 600, 2999})
+        cr_expect_eq(fix.used(at(ms)).count(waiting.endpoint.boot), 0U);
+    // Nor after its entry has lapsed and returned, or another one came.
+    fix.list({waiting.endpoint.boot == "one" ? "two" : "one"});
+    fix.list({"one", "two"});
+    cr_expect_eq(fix.used(at(2999)).count(waiting.endpoint.boot), 0U);
+    cr_expect_eq(fix.used(at(3000)).size(), 2U);
+}
+
+Test(direct_notices, a_new_start_does_not_rest)
+{
+    fixture fix;
+    fix.list({"one", "two"}, 1000);
+    fix.decides.note_rest(start, record("one", "one:1", 1000),
+                          milliseconds(3000));
+    cr_expect_eq(fix.used().size(), 1U);
+    fix.list({"one", "two"}, 2000);
+    cr_expect_eq(fix.used().size(), 2U);
+}
+
+Test(direct_notices, a_rest_is_bounded_and_not_shortened)
+{
+    endpoint_notices notices;
+    const endpoint_record one = record("one", "a:1");
+    notices.note_rest(start, one, milliseconds(3000));
+    notices.note_rest(start, one, milliseconds(1000));
+    cr_expect(notices.rests_until(one) == start + milliseconds(3000));
+    notices.note_rest(start, one, std::chrono::hours(5));
+    cr_expect(notices.rests_until(one) ==
+              start + endpoint_notices::longest_rest);
+    cr_expect(notices.rests_until(record("one", "b:1")) == time_point());
+    cr_expect_not(notices.is_leaving(one));
+}
+
+// Callers that come back sooner find the same.
+Test(direct_notices, when_all_endpoints_rest_callers_come_back_after_the_first)
+{
+    fixture fix;
+    const endpoint_record one = record("one", "one:1");
+    const endpoint_record two = record("two", "two:1");
+    fix.decides.note_rest(start, one, milliseconds(3000));
+    cr_expect_not(fix.decides.rest_pause(start, drafts).has_value());
+    fix.decides.note_rest(start, two, milliseconds(2000));
+    for (int i = 0; i < 20; ++i)
+    {
+        request_profile asked = fix.ask_for({{1, 1000}});
+        const auto refused = std::get<refusal_decision>(
+            fix.decides.decide(start, asked, drafts, {}, false));
+        cr_expect(refused.reason == refusal::resting);
+        cr_expect_geq(refused.retry_after.count(), 2000);
+        cr_expect_leq(refused.retry_after.count(), 2500);
+    }
+    // One that leaves does not count: it takes nothing at any time.
+    fix.decides.note_leaving(start, two);
+    const auto pause = fix.decides.rest_pause(start, drafts);
+    cr_assert(pause.has_value());
+    cr_expect_geq(pause->count(), 3000);
+}
+
+Test(direct_notices, nothing_is_fetched_from_an_engine_that_rests)
+{
+    fixture fix(100);
+    const endpoint_record one = record("one", "one:1");
+    fix.decides.note_rest(start, one, milliseconds(3000));
+    const fetch_plan plan{one.id(), one.address, 1000, 5};
+    cr_expect_not(fix.decides.may_fetch(start, plan));
+    cr_expect(fix.decides.may_fetch(start + milliseconds(3000), plan));
+}
