What the control thread knows of endpoints has a source file of its own

Moved whole functions only; no change. fleet_endpoint_news (4) and fleet_direct_operations (15) pass.

--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -24,12 +24,9 @@
 constexpr core::duration gossip_period = milliseconds(400);
 /// Stands for all other instances in what the router is told.
 constexpr const char* rest_sender = "rest";
-/// Source of news that this instance has read itself.
-constexpr const char* store_source = "store";
 
 } // namespace
 
-using core::direct::endpoint_record;
 using core::direct::exchange_report;
 
 control_plane::control_plane(boost::asio::io_context& io,
@@ -91,100 +88,6 @@
     }
 }
 
-void control_plane::note_endpoint(const endpoint_record& record,
-                                  const std::string& source)
-{
-    log_.write(record.draining ? direct_event::endpoint_draining
-                               : direct_event::endpoint_seen,
-               {{"endpoint", record.boot},
-                {"address", record.address},
-                {"started_ms", std::to_string(record.started_ms)},
-                {"revision", std::to_string(record.revision)},
-                {"source", source}});
-}
-
-void control_plane::note_gone(const std::string& boot,
-                              const std::string& source)
-{
-    log_.write(direct_event::endpoint_gone,
-               {{"endpoint", boot}, {"source", source}});
-}
-
-void control_plane::note_missing(const std::string& boot)
-{
-    log_.write(direct_event::endpoint_missing,
-               {{"endpoint", boot}, {"source", store_source}});
-}
-
-void control_plane::note_unreadable(
-    const std::vector<core::direct::unreadable_entry>& entries)
-{
-    for (const core::direct::unreadable_entry& each : entries)
-    {
-        if (registry_.drop(each.boot))
-            note_gone(each.boot, store_source);
-        if (unreadable_.note(each))
-            log_.write(direct_event::entry_unreadable,
-                       {{"entry", each.boot}, {"reason", each.reason}});
-    }
-}
-
-void control_plane::on_list(const endpoint_page& all)
-{
-    registry_.replace(now(), all.endpoints);
-    unreadable_.keep_only(all.unreadable);
-    note_unreadable(all.unreadable);
-    drop_expired();
-    for (const auto& [boot, record] : registry_.all())
-    {
-        if (registry_.is_kept(boot))
-            note_missing(boot);
-    }
-    endpoints_changed();
-}
-
-void control_plane::on_news(const store_news& news)
-{
-    bool changed = !news.unreadable.empty();
-    for (const endpoint_record& record : news.endpoints)
-    {
-        unreadable_.forget(record.boot);
-        if (!registry_.put(record))
-            continue;
-        changed = true;
-        note_endpoint(record, store_source);
-    }
-    for (const endpoint_gone& gone : news.gone)
-    {
-        unreadable_.forget(gone.boot);
-        registry_.remove(now(), gone.boot);
-    }
-    note_unreadable(news.unreadable);
-    changed = drop_expired() || changed;
-    for (const endpoint_gone& gone : news.gone)
-    {
-        if (registry_.is_kept(gone.boot))
-            note_missing(gone.boot);
-    }
-    if (changed)
-        endpoints_changed();
-}
-
-bool control_plane::drop_expired()
-{
-    const std::vector<std::string> dropped = registry_.expire(now());
-    for (const std::string& boot : dropped)
-        note_gone(boot, store_source);
-    return !dropped.empty();
-}
-
-void control_plane::endpoints_changed()
-{
-    digest_ = registry_.digest();
-    traffic_.set_endpoints(registry_.all());
-    update_ready();
-}
-
 void control_plane::publish(exchange_report report)
 {
     boost::asio::post(io_, [this, report = std::move(report)]() mutable
@@ -375,91 +278,6 @@
     take(std::move(report));
 }
 
-core::direct::store_view
-control_plane::own_store_view(core::time_point at) const
-{
-    core::direct::store_view view;
-    view.revision = store_.revision();
-    view.age = std::chrono::ceil<milliseconds>(at - store_.answered_at());
-    view.up = uptime_.told_at(at);
-    view.digest = digest_;
-    return view;
-}
-
-core::direct::store_view
-control_plane::confirmed_store_view(core::time_point at) const
-{
-    core::direct::store_view view = own_store_view(at);
-    view.age = std::chrono::ceil<milliseconds>(
-        at - knowledge_.current_at(store_.answered_at()));
-    return view;
-}
-
-void control_plane::note_uptime(bool outage_ended)
-{
-    if (outage_ended)
-        registry_.platform_returned(uptime_.since());
-    else
-        registry_.platform_up_since(uptime_.since());
-}
-
-core::time_point control_plane::endpoints_current_at() const
-{
-    return std::max(knowledge_.current_at(store_.answered_at()),
-                    cover_.current_at());
-}
-
-std::vector<endpoint_record> control_plane::endpoints() const
-{
-    std::vector<endpoint_record> result;
-    result.reserve(registry_.all().size());
-    for (const auto& [boot, record] : registry_.all())
-        result.push_back(record);
-    return result;
-}
-
-void control_plane::choose_reader(core::time_point at, bool is_aggregator)
-{
-    store_.set_following(is_aggregator || !cover_.covered(at));
-    store_.set_relied_on(is_aggregator && tree_.aggregates(at));
-    store_.set_patient(!is_aggregator);
-}
-
-void control_plane::use_store_view(const exchange_report& report)
-{
-    const core::time_point at = now();
-    const core::direct::store_view& told = report.store;
-    bool wanted = told.revision > store_.revision();
-    if (report.part == core::direct::report_part::rest)
-    {
-        cover_.heard(at, told);
-        // The aggregator may also have dropped an entry whose grace is over.
-        wanted = wanted ||
-                 (cover_.covered(at) && told.revision == store_.revision());
-    }
-    if (!wanted)
-        return;
-    if (told.endpoints)
-        adopt(told.revision, *told.endpoints, report.sender);
-    // A version that is on its way is not yet known, so it must be read.
-    if (told.digest == digest_ && report.config_version <= version_)
-        store_.advance_to(told.revision);
-}
-
-void control_plane::adopt(std::uint64_t revision,
-                          const std::vector<endpoint_record>& all,
-                          const std::string& source)
-{
-    const core::direct::endpoint_registry::listing_news news =
-        registry_.adopt(revision, all);
-    for (const endpoint_record& record : news.changed)
-        note_endpoint(record, source);
-    for (const std::string& boot : news.gone)
-        note_gone(boot, source);
-    if (!news.changed.empty() || !news.gone.empty())
-        endpoints_changed();
-}
-
 bool control_plane::ready() const
 {
     return version_ > 0 && !registry_.all().empty() && !leaving_ &&
