--- a/test/integration/soak_test.cpp
+++ b/test/integration/soak_test.cpp
@@ -7,10 +7,11 @@
 namespace
 {
 
-void play_seed(std::uint64_t seed)
+void play_seed(std::uint64_t seed, bool notices = false)
 {
     soak::round_plan plan;
     plan.seed = seed;
+    plan.notices = notices;
     const soak::round_result got = soak::play(plan);
     for (const std::string& each : got.broken)
         cr_log_error("seed %llu: %s", static_cast<unsigned long long>(seed),
@@ -49,6 +50,11 @@
     play_seed(308);
 }
 
+Test(soak, endpoints_that_leave_or_rest_get_no_request_among_faults)
+{
+    play_seed(5, true);
+}
+
 Test(soak, a_seed_gives_the_same_script)
 {
     using std::chrono::seconds;
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -25,10 +25,11 @@
         for (const std::string& each : got.actions)
             std::printf("    %s\n", each.c_str());
         std::printf("  again: build/bin/soak --seed %llu --instances %zu "
-                    "--callers %zu --seconds %lld\n",
+                    "--callers %zu --seconds %lld%s\n",
                     static_cast<unsigned long long>(plan.seed), plan.instances,
                     plan.callers,
-                    static_cast<long long>(plan.length.count() / 1000));
+                    static_cast<long long>(plan.length.count() / 1000),
+                    plan.notices ? " --notices" : "");
     }
     std::fflush(stdout);
     return got.broken.empty();
@@ -54,6 +55,7 @@
         cxxopts::value<unsigned>()->default_value("24"))(
         "logs", "folder for the logs of rounds that broke a promise",
         cxxopts::value<std::string>()->default_value("/tmp/sycamorelock-soak"))(
+        "notices", "endpoints ask for rest, and one says that it leaves")(
         "help", "this text");
     try
     {
@@ -69,6 +71,7 @@
         plan.instances = given["instances"].as<unsigned>();
         plan.callers = given["callers"].as<unsigned>();
         plan.length = std::chrono::seconds(given["seconds"].as<unsigned>());
+        plan.notices = given.count("notices") > 0;
         plan.keep_logs = given["logs"].as<std::string>();
         const auto end = soak::clock::now() +
                          std::chrono::minutes(given["minutes"].as<unsigned>());
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -1,6 +1,8 @@
 // Applies the actions at their times and checks the records afterwards.
 #include "soak_run.hpp"
 
+#include "soak_notices.hpp"
+
 #include <algorithm>
 #include <csignal>
 #include <filesystem>
@@ -74,6 +76,12 @@
         begin_ = clock::now();
         for (const action& each : script_.actions)
             schedule(each);
+        if (plan_.notices)
+        {
+            for (const notice_action& each :
+                 draw_notices(plan_.seed, plan_.length))
+                schedule(each);
+        }
         run_due();
         std::this_thread::sleep_for(settle);
         check_processes();
@@ -135,6 +143,34 @@
               });
     }
 
+    void schedule(const notice_action& what)
+    {
+        const std::size_t number =
+            what.leaves ? engine_count + what.target % plain_count
+                        : what.target % (engine_count + plain_count);
+        later(what.at,
+              [this, what, number]
+              {
+                  direct_engine& endpoint = endpoint_at(number);
+                  result_.actions.push_back(
+                      std::to_string(what.at.count()) + " ms " +
+                      (what.leaves ? "says_leaving " : "asks_rest ") +
+                      std::to_string(number));
+                  if (what.leaves)
+                      return endpoint.set_leaving(true);
+                  endpoint.set_rest("1.5");
+                  later(what.at + what.length,
+                        [this, number] { endpoint_at(number).set_rest(""); });
+              });
+    }
+
+    /// Engines first, then plain services.
+    direct_engine& endpoint_at(std::size_t number)
+    {
+        return number < engine_count ? fleet_.engine(number)
+                                     : fleet_.plain(number - engine_count);
+    }
+
     void begin(const action& what)
     {
         const std::size_t i = what.target % plan_.instances;
@@ -174,9 +210,8 @@
     void harm_engine(const action& what, milliseconds end)
     {
         const std::size_t number = what.target % (engine_count + plain_count);
-        direct_engine& engine = number < engine_count
-                                    ? fleet_.engine(number)
-                                    : fleet_.plain(number - engine_count);
+        direct_engine& engine = endpoint_at(number);
+        harmed_endpoints_.push_back({number, clock::now(), begin_ + end});
         const std::string route = fleet_.route_of(engine);
         switch (what.what)
         {
@@ -225,6 +260,7 @@
 
     void replace(std::size_t engine, milliseconds end)
     {
+        harmed_endpoints_.push_back({engine, clock::now(), begin_ + end});
         // The address serves another start; the old entry stays for a while.
         fleet_.engine(engine).restart_as("reborn-" + std::to_string(engine));
         later(end,
@@ -354,6 +390,7 @@
     void start(std::size_t i)
     {
         launches_[i].at = clock::now();
+        restarts_.push_back({i, launches_[i].at, launches_[i].at});
         launches_[i].log_size =
             std::filesystem::file_size(fleet_.at(i).log_file);
         fleet_.start(fleet_.at(i));
@@ -485,6 +522,22 @@
                 check_planned(each);
         }
         check_endpoints();
+        check_notices(records);
+    }
+
+    void check_notices(const std::vector<record>& records)
+    {
+        std::vector<excuse> instances = restarts_;
+        for (const disturbance& each : disturbances_)
+            instances.push_back({each.instance, each.from, each.to});
+        const notice_check promised(records, std::move(instances),
+                                    harmed_endpoints_);
+        for (std::size_t i = 0; i < engine_count + plain_count; ++i)
+        {
+            for (const std::string& each :
+                 promised.broken_at(i, endpoint_at(i)))
+                broke(each);
+        }
     }
 
     void broke(const record& which, const std::string& what)
@@ -552,9 +605,7 @@
     {
         for (std::size_t i = 0; i < engine_count + plain_count; ++i)
         {
-            const direct_engine& engine = i < engine_count
-                                              ? fleet_.engine(i)
-                                              : fleet_.plain(i - engine_count);
+            const direct_engine& engine = endpoint_at(i);
             for (const engine_run& run : engine.runs())
             {
                 if (run.account != "north" || run.had_api_key)
@@ -590,6 +641,8 @@
     clock::time_point begin_;
     std::multimap<milliseconds, std::function<void()>> due_;
     std::vector<disturbance> disturbances_;
+    std::vector<excuse> restarts_;
+    std::vector<excuse> harmed_endpoints_;
     std::set<std::size_t> drained_;
     /// Engines that were told to leave.
     std::set<std::size_t> left_;
--- a/test/soak/soak_run.hpp
+++ b/test/soak/soak_run.hpp
@@ -14,6 +14,8 @@
     std::size_t instances = 4;
     std::size_t callers = 24;
     milliseconds length{8000};
+    /// Endpoints ask for rest, and one says in its answers that it leaves.
+    bool notices = false;
     /// Folder that keeps the logs of a round that broke a promise.
     std::string keep_logs;
 };
--- a/test/standins/direct_engine.cpp
+++ b/test/standins/direct_engine.cpp
@@ -26,6 +26,13 @@
     return size.str() + "\r\n" + bytes + "\r\n";
 }
 
+std::chrono::milliseconds rest_time(const std::string& retry_after)
+{
+    static constexpr double ms_per_second = 1000;
+    return std::chrono::milliseconds(static_cast<long>(
+        std::strtod(retry_after.c_str(), nullptr) * ms_per_second));
+}
+
 long number_of(const request& asked, const char* name)
 {
     const std::string text(asked[name]);
@@ -205,7 +212,8 @@
         boot = boot_;
         before = answer_before_;
         rest = rest_;
-        arrivals_.push_back({run.attempt_id, std::chrono::steady_clock::now()});
+        arrivals_.push_back({run.attempt_id, std::chrono::steady_clock::now(),
+                             leaving_, rest_time(rest)});
     }
     if (asked["Expect-Instance"] != boot)
     {
--- a/test/standins/direct_engine.hpp
+++ b/test/standins/direct_engine.hpp
@@ -36,6 +36,10 @@
 {
     std::string attempt_id;
     std::chrono::steady_clock::time_point at;
+    /// Its answer says that the endpoint leaves.
+    bool leaving = false;
+    /// It was turned away, and the endpoint asked for rest.
+    std::chrono::milliseconds rest{0};
 };
 
 struct engine_run
