The registry keeps no times of entries that are missing

Since the grace is a moment that can move, the time at which an entry went was only ever compared with now, and was never later: dead state. A set of names is left; remove() and replace() take no time, and what drops an entry calls drop(). No change of behaviour.

--- a/packages/adapters/lib/direct/control_plane_endpoints.cpp
+++ b/packages/adapters/lib/direct/control_plane_endpoints.cpp
@@ -58,7 +58,7 @@
 
 void control_plane::on_list(const endpoint_page& all)
 {
-    registry_.replace(now(), all.endpoints);
+    registry_.replace(all.endpoints);
     unreadable_.keep_only(all.unreadable);
     note_unreadable(all.unreadable);
     drop_expired();
@@ -84,7 +84,7 @@
     for (const endpoint_gone& gone : news.gone)
     {
         unreadable_.forget(gone.boot);
-        registry_.remove(now(), gone.boot);
+        registry_.remove(gone.boot);
     }
     note_unreadable(news.unreadable);
     changed = drop_expired() || changed;
--- a/packages/core/include/sycamorelock/core/direct/endpoint_registry.hpp
+++ b/packages/core/include/sycamorelock/core/direct/endpoint_registry.hpp
@@ -5,6 +5,7 @@
 #include "sycamorelock/core/strong_types.hpp"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,7 +57,7 @@
 
     /// Notes that an entry is gone. It stays in use until the grace after an
     /// outage has passed.
-    void remove(time_point now, const std::string& boot);
+    void remove(const std::string& boot);
 
     /// Whether an entry is missing and still in use.
     [[nodiscard]] bool is_kept(const std::string& boot) const
@@ -65,7 +66,7 @@
     }
 
     /// Takes a complete listing: entries that it lacks are removed.
-    void replace(time_point now, const std::vector<endpoint_record>& all);
+    void replace(const std::vector<endpoint_record>& all);
 
     /// Notes that the platform answers again after an outage, since `at`.
     void platform_returned(time_point at);
@@ -88,8 +89,10 @@
     /// Takes over the endpoints of an instance that reads the platform's store
     /// for this one and has applied the grace. A listing that is older than one
     /// that was taken over changes nothing: it may have entries that went
-    /// since. \param revision generation of the store up to which the listing
-    /// is right.
+    /// since.
+    ///
+    /// \param revision generation of the store up to which the listing is
+    /// right.
     listing_news adopt(std::uint64_t revision,
                        const std::vector<endpoint_record>& all);
 
@@ -109,8 +112,8 @@
     [[nodiscard]] bool few_went(service_id service) const;
 
     std::map<std::string, endpoint_record> records_;
-    /// When entries that are missing and still in use went.
-    std::map<std::string, time_point> going_;
+    /// Entries that are missing and still in use.
+    std::set<std::string> going_;
     time_point grace_until_;
     std::uint64_t adopted_revision_ = 0;
     /// Entries of each service at the return of the platform, and those of
--- a/packages/core/lib/direct/endpoint_registry.cpp
+++ b/packages/core/lib/direct/endpoint_registry.cpp
@@ -3,7 +3,6 @@
 
 #include "sycamorelock/core/direct/prefix_cache.hpp"
 
-#include <set>
 #include <string_view>
 
 namespace sycamorelock::core::direct
@@ -38,10 +37,10 @@
     return !same;
 }
 
-void endpoint_registry::remove(time_point now, const std::string& boot)
+void endpoint_registry::remove(const std::string& boot)
 {
     if (records_.contains(boot))
-        going_.emplace(boot, now);
+        going_.insert(boot);
 }
 
 endpoint_registry::listing_news
@@ -63,11 +62,10 @@
     return result;
 }
 
-void endpoint_registry::replace(time_point now,
-                                const std::vector<endpoint_record>& all)
+void endpoint_registry::replace(const std::vector<endpoint_record>& all)
 {
     for (const std::string& boot : merge(all).gone)
-        remove(now, boot);
+        remove(boot);
 }
 
 endpoint_registry::listing_news
@@ -79,10 +77,7 @@
     adopted_revision_ = revision;
     listing_news result = merge(all);
     for (const std::string& boot : result.gone)
-    {
-        records_.erase(boot);
-        going_.erase(boot);
-    }
+        drop(boot);
     return result;
 }
 
@@ -120,7 +115,7 @@
         return found == counts.end() ? 0 : found->second;
     };
     std::size_t went = count(dropped_);
-    for (const auto& [boot, since] : going_)
+    for (const std::string& boot : going_)
         went += records_.at(boot).service == service ? 1 : 0;
     return went <= count(at_return_) / few_divisor;
 }
@@ -128,18 +123,16 @@
 std::vector<std::string> endpoint_registry::expire(time_point now)
 {
     std::vector<std::string> due;
-    for (const auto& [boot, since] : going_)
+    for (const std::string& boot : going_)
     {
-        if (now >= std::max(since, grace_until_) ||
-            few_went(records_.at(boot).service))
+        if (now >= grace_until_ || few_went(records_.at(boot).service))
             due.push_back(boot);
     }
     for (const std::string& boot : due)
     {
         if (now < grace_until_)
             ++dropped_[records_.at(boot).service];
-        records_.erase(boot);
-        going_.erase(boot);
+        drop(boot);
     }
     return due;
 }
--- a/packages/core/unittests/direct_store_test.cpp
+++ b/packages/core/unittests/direct_store_test.cpp
@@ -32,7 +32,7 @@
 {
     endpoint_registry registry;
     registry.put(record("a"));
-    registry.remove(start, "a");
+    registry.remove("a");
     cr_expect_not(registry.expire(start).empty());
     cr_expect(registry.all().empty());
 }
@@ -45,13 +45,13 @@
     registry.put(record("a"));
     registry.put(record("b"));
     registry.platform_returned(start);
-    registry.replace(start, {record("b")});
+    registry.replace({record("b")});
     cr_expect(registry.expire(start + seconds(2)).empty());
     registry.put(record("a"));
     cr_expect(registry.expire(start + seconds(4)).empty());
     cr_expect_eq(registry.all().size(), 2U);
     registry.platform_returned(start + seconds(10));
-    registry.replace(start + seconds(10), {record("b")});
+    registry.replace({record("b")});
     cr_expect_not(registry.expire(start + seconds(13)).empty());
     cr_expect_eq(registry.all().size(), 1U);
 }
@@ -64,12 +64,12 @@
     for (int i = 0; i < 8; ++i)
         registry.put(record("e" + std::to_string(i)));
     registry.platform_returned(start);
-    registry.remove(start, "e0");
+    registry.remove("e0");
     cr_expect_not(registry.expire(start).empty());
-    registry.remove(start, "e1");
+    registry.remove("e1");
     cr_expect_not(registry.expire(start).empty());
     // Entries that lapse one after the other are not few.
-    registry.remove(start, "e2");
+    registry.remove("e2");
     cr_expect(registry.expire(start + seconds(2)).empty());
     cr_expect_eq(registry.all().size(), 6U);
     cr_expect_not(registry.expire(start + seconds(3)).empty());
@@ -87,7 +87,7 @@
             left.push_back(record("e" + std::to_string(i)));
     }
     registry.platform_returned(start);
-    registry.replace(start, left);
+    registry.replace(left);
     cr_expect(registry.expire(start + seconds(2)).empty());
     cr_expect_eq(registry.all().size(), 8U);
 }
@@ -269,13 +269,13 @@
     for (const char* name : {"a", "b", "c"})
         registry.put(record(name));
     registry.platform_returned(start);
-    registry.replace(start, {record("b"), record("c")});
+    registry.replace({record("b"), record("c")});
     cr_assert(registry.expire(start).empty());
     cr_expect(registry.is_kept("a"));
     registry.platform_up_since(start - seconds(30));
     cr_expect_eq(registry.expire(start).size(), 1U);
     cr_expect_not(registry.is_kept("a"));
-    registry.remove(start, "b");
+    registry.remove("b");
     cr_expect_eq(registry.expire(start).size(), 1U);
 }
 
