What an endpoint said is put in force in one place

note_leaving, note_rest and set_endpoints each copied notices into an endpoint's state in their own lines. Now endpoint_state::apply does.

--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -223,6 +223,12 @@
         /// It has asked for rest until then.
         time_point rests_until;
 
+        /// Takes over what the endpoint has said of itself.
+        void apply(const endpoint_notices& notices)
+        {
+            said_leaving = notices.is_leaving(record);
+            rests_until = notices.rests_until(record);
+        }
         [[nodiscard]] bool is_leaving() const
         {
             return record.draining || said_leaving;
@@ -315,6 +321,8 @@
     [[nodiscard]] placement_decision place(const weighing& of,
                                            candidate best) const;
     void renew_guesses();
+    /// Puts a new notice of an endpoint in force.
+    void apply_notices(endpoint_id endpoint);
     /// How long answers of engines of a service hold a slot.
     [[nodiscard]] hold_time held_at(const service& kind) const;
     /// Learns it from an answer that has ended.
--- a/packages/core/lib/direct/endpoint_notices.cpp
+++ b/packages/core/lib/direct/endpoint_notices.cpp
@@ -1,4 +1,4 @@
-// Few endpoints have any notice, so all are looked through.
+// Most of the time no endpoint has a notice, and no identity need be made.
 #include "sycamorelock/core/direct/endpoint_notices.hpp"
 
 #include <algorithm>
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -133,9 +133,7 @@
 bool router::note_leaving(time_point now, const endpoint_record& from)
 {
     const bool is_new = notices_.note_leaving(now, from);
-    const auto found = endpoints_.find(from.id());
-    if (found != endpoints_.end())
-        found->second.said_leaving = notices_.is_leaving(found->second.record);
+    apply_notices(from.id());
     return is_new;
 }
 
@@ -143,9 +141,14 @@
                        milliseconds asked)
 {
     notices_.note_rest(now, from, asked);
-    const auto found = endpoints_.find(from.id());
+    apply_notices(from.id());
+}
+
+void router::apply_notices(endpoint_id endpoint)
+{
+    const auto found = endpoints_.find(endpoint);
     if (found != endpoints_.end())
-        found->second.rests_until = notices_.rests_until(found->second.record);
+        found->second.apply(notices_);
 }
 
 std::optional<milliseconds> router::rest_pause(time_point now,
@@ -187,8 +190,7 @@
             state = known->second;
         state.record = record;
         state.id = id;
-        state.said_leaving = notices_.is_leaving(record);
-        state.rests_until = notices_.rests_until(record);
+        state.apply(notices_);
     }
     for (const auto& [id, state] : endpoints_)
     {
