Tests: one span of time in the soak, one way to find the preferred endpoint

The soak's 'disturbance' and the 'excuse' of its notices were the same, with the same test for an overlap; excuse is left. Two tests of endpoint_news found the endpoint that is used with the same lines.

--- a/test/integration/endpoint_news_test.cpp
+++ b/test/integration/endpoint_news_test.cpp
@@ -1,5 +1,5 @@
 // What endpoints and the store say of an endpoint, and what instances send to
-// it afterwards: leaving.
+// it afterwards: leaving, and asking for rest.
 #include "direct_checks.hpp"
 
 #include <criterion/criterion.h>
@@ -53,6 +53,14 @@
     throw std::runtime_error("nobody ran " + attempt_id);
 }
 
+/// The endpoint that serves requests which come one after the other.
+direct_engine& preferred_by(direct_fleet& fleet, const char* path)
+{
+    const direct_call asked = fleet.make_call(0, path);
+    cr_assert_eq(ask(asked).status, 200U);
+    return used_by(fleet, asked.id);
+}
+
 } // namespace
 
 // Guards against requests to an endpoint that has left, from instances that had
@@ -110,10 +118,7 @@
     direct_fleet fleet(plan);
     for (const char* path : {"/plan/x", "/look/1"})
     {
-        // Requests one after the other go to the same endpoint.
-        direct_call first = fleet.make_call(0, path);
-        cr_assert_eq(ask(first).status, 200U);
-        direct_engine& used = used_by(fleet, first.id);
+        direct_engine& used = preferred_by(fleet, path);
         used.set_leaving(true);
         cr_assert_eq(ask(fleet.make_call(0, path)).status, 200U);
         const moment known = std::chrono::steady_clock::now();
@@ -134,13 +139,9 @@
     direct_fleet fleet(plan);
     for (const char* path : {"/plan/x", "/look/1"})
     {
-        direct_call first = fleet.make_call(0, path);
-        cr_assert_eq(ask(first).status, 200U);
-        direct_engine& used = used_by(fleet, first.id);
+        direct_engine& used = preferred_by(fleet, path);
         used.set_rest("3");
-        direct_call second = fleet.make_call(0, path);
-        cr_assert_eq(ask(second).status, 200U, "another endpoint is free");
-        direct_engine& other = used_by(fleet, second.id);
+        direct_engine& other = preferred_by(fleet, path);
         const moment turned_away = std::chrono::steady_clock::now();
         std::this_thread::sleep_for(milliseconds(500));
         used.set_rest("");
--- a/test/soak/soak_notices.cpp
+++ b/test/soak/soak_notices.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds rest_slack{500};
 constexpr std::ptrdiff_t most_in_rest = 2;
 
+} // namespace
+
 bool overlaps(const std::vector<excuse>& excuses, std::size_t of,
               clock::time_point from, clock::time_point to)
 {
@@ -27,8 +29,6 @@
         { return each.of == of && each.from <= to && each.to >= from; });
 }
 
-} // namespace
-
 std::vector<notice_action> draw_notices(std::uint64_t seed, milliseconds length)
 {
     static constexpr std::uint64_t stream = 0x6e6f74696365;
--- a/test/soak/soak_notices.hpp
+++ b/test/soak/soak_notices.hpp
@@ -36,6 +36,9 @@
     clock::time_point to;
 };
 
+[[nodiscard]] bool overlaps(const std::vector<excuse>& excuses, std::size_t of,
+                            clock::time_point from, clock::time_point to);
+
 class notice_check
 {
   public:
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -43,14 +43,6 @@
     return std::chrono::duration_cast<milliseconds>(value);
 }
 
-/// A stretch of time in which an instance was harmed.
-struct disturbance
-{
-    std::size_t instance = 0;
-    clock::time_point from;
-    clock::time_point to;
-};
-
 /// When an instance was last started again and told to end.
 struct launch
 {
@@ -499,13 +491,7 @@
 
     [[nodiscard]] bool disturbed(const record& which) const
     {
-        for (const disturbance& each : disturbances_)
-        {
-            if (each.instance == which.instance && each.from <= which.end &&
-                each.to >= which.start)
-                return true;
-        }
-        return false;
+        return overlaps(disturbances_, which.instance, which.start, which.end);
     }
 
     void check(const std::vector<record>& records)
@@ -527,9 +513,8 @@
 
     void check_notices(const std::vector<record>& records)
     {
-        std::vector<excuse> instances = restarts_;
-        for (const disturbance& each : disturbances_)
-            instances.push_back({each.instance, each.from, each.to});
+        std::vector<excuse> instances = disturbances_;
+        instances.insert(instances.end(), restarts_.begin(), restarts_.end());
         const notice_check promised(records, std::move(instances),
                                     harmed_endpoints_);
         for (std::size_t i = 0; i < engine_count + plain_count; ++i)
@@ -640,8 +625,10 @@
     callers load_;
     clock::time_point begin_;
     std::multimap<milliseconds, std::function<void()>> due_;
-    std::vector<disturbance> disturbances_;
+    /// Spans in which an instance was harmed.
+    std::vector<excuse> disturbances_;
     std::vector<excuse> restarts_;
+    /// Spans in which an endpoint or the way to it was harmed.
     std::vector<excuse> harmed_endpoints_;
     std::set<std::size_t> drained_;
     /// Engines that were told to leave.
