Links between instances over Asio instead of nng, whose receives may never end

What callers saw: nothing that was traced to it; an instance whose closes have ceased to return frees no connection and dials no broken one again.

A connection that is closed between two parts has its next part refused without a callback; the receive or send stays busy, the one thread that frees connections waits for it, and every close waits for that thread. Sends have it too, and there the end of the peer is enough, so no order of calls avoids it.

Fix: the same two classes speak the same published protocol over Boost.Asio on the control thread. A close waits for nobody. Bytes that cannot be read end their connection alone, with event 1202 and a counter.

--- a/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
@@ -138,6 +138,7 @@
     core::direct::help_pace caches_pace_;
     core::time_point next_gossip_;
     std::size_t live_ = 0;
+    std::uint64_t unreadable_connections_ = 0;
     bool was_ready_ = false;
     bool leaving_ = false;
 };
--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -48,6 +48,7 @@
     platform_unreachable = 1104,
     platform_returned = 1105,
     peer_message_dropped = 1201,
+    peer_connection_unreadable = 1202,
     bad_request = 1301,
     invariant_answer_mixed = 1901,
 };
--- a/packages/adapters/include/sycamorelock/adapters/metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/metrics.hpp
@@ -60,6 +60,7 @@
         sent_by_type{};
     std::atomic<std::uint64_t> dropped_full{0};
     std::atomic<std::uint64_t> dropped_invalid{0};
+    std::atomic<std::uint64_t> unreadable_connections{0};
 };
 
 } // namespace sycamorelock::adapters
--- a/packages/adapters/include/sycamorelock/adapters/peer_link.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/peer_link.hpp
@@ -1,4 +1,4 @@
-// Links to the other instances over nng. Delivery is best effort: the core
+// Links to the other instances. Delivery is best effort: the core
 // repeats what matters.
 #pragma once
 
@@ -6,10 +6,13 @@
 #include "sycamorelock/core/topology.hpp"
 #include "sycamorelock/wire/codec.hpp"
 
+#include <boost/asio/io_context.hpp>
+
 #include <functional>
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace sycamorelock::adapters
 {
@@ -27,12 +30,18 @@
 class peer_link
 {
   public:
-    /// Called on an nng thread with raw bytes.
+    /// Called with raw bytes on the thread that runs the io_context.
     using receiver = std::function<void(std::string)>;
+    /// Called there when a connection ends because its bytes cannot be read,
+    /// with the other side's IP address and the reason.
+    using violation_handler =
+        std::function<void(const std::string&, std::string_view)>;
 
+    /// \param io must outlive the links.
     /// \throws std::runtime_error if the address cannot be listened on.
-    peer_link(peer_link_settings settings, peer_metrics& metrics,
-              receiver on_bytes);
+    peer_link(boost::asio::io_context& io, peer_link_settings settings,
+              peer_metrics& metrics, receiver on_bytes,
+              violation_handler on_violation);
     ~peer_link();
     peer_link(const peer_link&) = delete;
     peer_link& operator=(const peer_link&) = delete;
--- a/packages/adapters/lib/control_plane.cpp
+++ b/packages/adapters/lib/control_plane.cpp
@@ -61,11 +61,13 @@
     link.port = settings_.peer_port;
     link.key = settings_.fleet_key;
     links_ = std::make_unique<peer_link>(
-        link, peer_metrics_,
-        [this](std::string bytes)
+        context_, link, peer_metrics_,
+        [this](const std::string& bytes) { receive(bytes); },
+        [this](const std::string& peer, std::string_view reason)
         {
-            boost::asio::post(context_, [this, bytes = std::move(bytes)]
-                              { receive(bytes); });
+            ++peer_metrics_.unreadable_connections;
+            log_.write(process_event::peer_connection_unreadable,
+                       {{"peer", peer}, {"reason", std::string(reason)}});
         });
     schedule_tick();
 }
--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -52,11 +52,13 @@
 void control_plane::start()
 {
     links_ = std::make_unique<exchange_links>(
-        settings_.peer_address,
-        [this](std::string bytes)
+        io_, settings_.peer_address,
+        [this](const std::string& bytes) { on_bytes(bytes); },
+        [this](const std::string& peer, std::string_view reason)
         {
-            boost::asio::post(io_, [this, bytes = std::move(bytes)]
-                              { on_bytes(bytes); });
+            ++unreadable_connections_;
+            log_.write(process_event::peer_connection_unreadable,
+                       {{"peer", peer}, {"reason", std::string(reason)}});
         });
     store_.start();
 }
@@ -316,6 +318,9 @@
            "Such entries seen so far.", unreadable_.seen());
     single(out, "peers_live", "gauge", "Other instances heard lately.",
            std::uint64_t{live_});
+    single(out, "peer_connections_unreadable_total", "counter",
+           "Connections of other instances closed as unreadable.",
+           unreadable_connections_);
     single(out, "store_followed", "gauge",
            "Whether this instance reads the store itself.",
            std::uint64_t{store_.following() ? 1U : 0U});
--- a/packages/adapters/lib/direct/exchange_links.cpp
+++ b/packages/adapters/lib/direct/exchange_links.cpp
@@ -1,6 +1,8 @@
-// One push socket for each other instance.
+// One link to each other instance.
 #include "exchange_links.hpp"
 
+#include "../shared_io.hpp"
+
 #include <algorithm>
 
 namespace sycamorelock::adapters::direct
@@ -15,15 +17,25 @@
 constexpr core::duration idle_link = std::chrono::seconds(60);
 } // namespace
 
-exchange_links::exchange_links(std::string self, pull_inbox::receiver on_bytes)
-    : ip_(self.substr(0, self.rfind(':'))), inbox_(self, std::move(on_bytes))
+exchange_links::exchange_links(const std::string& self,
+                               pull_inbox::receiver on_bytes)
+    : exchange_links(shared_io(), self, std::move(on_bytes), {})
+{
+}
+
+exchange_links::exchange_links(boost::asio::io_context& io,
+                               const std::string& self,
+                               pull_inbox::receiver on_bytes,
+                               pull_inbox::violation_handler on_violation)
+    : io_(io), ip_(self.substr(0, self.rfind(':'))),
+      inbox_(io, self, std::move(on_bytes), std::move(on_violation))
 {
 }
 
 void exchange_links::send(const std::string& to, const std::string& bytes,
                           core::time_point at)
 {
-    link& used = open_.try_emplace(to, ip_, to, at).first->second;
+    link& used = open_.try_emplace(to, io_, ip_, to, at).first->second;
     used.used_at = at;
     if (used.socket.connected())
     {
--- a/packages/adapters/lib/direct/exchange_links.hpp
+++ b/packages/adapters/lib/direct/exchange_links.hpp
@@ -15,9 +15,13 @@
 class exchange_links
 {
   public:
-    /// \param self     IP:port that others connect to.
-    /// \param on_bytes called on a thread of nng.
-    exchange_links(std::string self, pull_inbox::receiver on_bytes);
+    /// Works on a thread that all links without an io_context share.
+    /// \param self IP:port that others connect to.
+    exchange_links(const std::string& self, pull_inbox::receiver on_bytes);
+    /// \param io must outlive the links.
+    exchange_links(boost::asio::io_context& io, const std::string& self,
+                   pull_inbox::receiver on_bytes,
+                   pull_inbox::violation_handler on_violation);
 
     void send(const std::string& to, const std::string& bytes,
               core::time_point at);
@@ -40,9 +44,9 @@
         static constexpr core::duration longest_patience =
             std::chrono::seconds(2);
 
-        link(const std::string& from, const std::string& to,
-             core::time_point at)
-            : socket(from, to), connected_at(at)
+        link(boost::asio::io_context& io, const std::string& from,
+             const std::string& to, core::time_point at)
+            : socket(io, from, to), connected_at(at)
         {
         }
         push_link socket;
@@ -53,6 +57,7 @@
         core::duration patience = first_patience;
     };
 
+    boost::asio::io_context& io_;
     std::string ip_;
     std::map<std::string, link> open_;
     pull_inbox inbox_;
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -51,6 +51,9 @@
     event_kind{1201, debug, "peer_message_dropped",
                "A datagram was forged, repeated, malformed or meant for "
                "another instance."},
+    event_kind{1202, info, "peer_connection_unreadable",
+               "What arrives on another instance's connection cannot be read; "
+               "that connection is closed."},
     event_kind{1301, debug, "bad_request",
                "A caller sent something that is not a request."},
     event_kind{
--- a/packages/adapters/lib/nng_link.hpp
+++ b/packages/adapters/lib/nng_link.hpp
@@ -1,38 +1,43 @@
-// Sockets between instances over nng: one pull socket receives, one push
-// socket for each peer sends.
+// Connections between instances: one inbox receives, one link for each peer
+// sends. They speak the Scalability Protocols' push and pull over TCP.
+//
+// No close waits for anybody: neither for the peer, nor for a thread, nor for
+// an operation that is under way.
 #pragma once
 
-#include <nng/nng.h>
+#include <boost/asio/io_context.hpp>
 
-#include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace sycamorelock::adapters
 {
 
-/// A push socket that dials one address in the background.
+/// Sends to one address and connects to it in the background, again and again.
+/// All members may be called on any thread.
 class push_link
 {
   public:
+    /// Connects on a thread that all links without an io_context share.
     /// \param from IP address to connect from.
-    /// \param to   IP:port of the peer.
+    /// \param to   IP:port of the peer. A link to anything else never connects.
     push_link(const std::string& from, const std::string& to);
+    /// \param io must outlive the link.
+    push_link(boost::asio::io_context& io, const std::string& from,
+              const std::string& to);
     ~push_link();
     push_link(const push_link&) = delete;
     push_link& operator=(const push_link&) = delete;
 
-    /// Returns false if the message was dropped because the queue is full.
-    bool send(const std::string& bytes);
+    /// Keeps a message until it can be written. Returns false if it was dropped
+    /// because too many wait.
+    bool send(std::string_view bytes);
 
     /// The connection stood once and does not now.
-    [[nodiscard]] bool lost() const { return shared_->now == state::lost; }
-
-    [[nodiscard]] bool connected() const
-    {
-        return shared_->now == state::connected;
-    }
+    [[nodiscard]] bool lost() const;
+    [[nodiscard]] bool connected() const;
 
     /// Drops the connection, if there is one, and connects again.
     void redial();
@@ -41,50 +46,38 @@
     void connect_anew();
 
   private:
-    enum class state
-    {
-        new_link,
-        connected,
-        lost,
-    };
-
-    /// Called on an nng thread.
-    static void on_pipe(nng_pipe pipe, nng_pipe_ev event, void* shared);
-    void open();
-
-    std::string url_;
-
-    nng_socket socket_{};
-    /// What callbacks use; outlives the link until the socket is closed.
-    struct shared_state
-    {
-        std::atomic<state> now{state::new_link};
-        std::atomic<std::uint32_t> pipe{0};
-    };
-    std::shared_ptr<shared_state> shared_ = std::make_shared<shared_state>();
+    class connection;
+    std::shared_ptr<connection> connection_;
 };
 
-/// A pull socket that hands over what arrives.
+/// Takes connections of links and hands over what arrives on them.
 class pull_inbox
 {
   public:
-    /// Called on an nng thread with raw bytes.
+    /// Called with the bytes of a message, on the thread that runs the inbox's
+    /// io_context. Must not destroy the inbox.
     using receiver = std::function<void(std::string)>;
+    /// Called there too when a peer's bytes end its connection, with the peer's
+    /// address and the reason.
+    using violation_handler =
+        std::function<void(const std::string&, std::string_view)>;
 
+    /// Receives on a thread that all links without an io_context share.
     /// \param at IP:port to listen on.
     /// \throws std::runtime_error if the address cannot be listened on.
     pull_inbox(const std::string& at, receiver on_bytes);
+    /// \param io must outlive the inbox.
+    /// \throws std::runtime_error if the address cannot be listened on.
+    pull_inbox(boost::asio::io_context& io, const std::string& at,
+               receiver on_bytes, violation_handler on_violation);
+    /// Nothing is called afterwards; waits for a call that is under way.
     ~pull_inbox();
     pull_inbox(const pull_inbox&) = delete;
     pull_inbox& operator=(const pull_inbox&) = delete;
 
   private:
-    static void on_receive(void* self);
-    void receive();
-
-    receiver on_bytes_;
-    nng_socket socket_{};
-    nng_aio* aio_ = nullptr;
+    class listener;
+    std::shared_ptr<listener> listener_;
 };
 
 } // namespace sycamorelock::adapters
--- a/packages/adapters/lib/peer_link.cpp
+++ b/packages/adapters/lib/peer_link.cpp
@@ -1,4 +1,4 @@
-// One pull socket to receive, one push socket for each peer.
+// One inbox to receive, one link for each peer.
 #include "sycamorelock/adapters/peer_link.hpp"
 
 #include "nng_link.hpp"
@@ -11,10 +11,12 @@
 class peer_link::impl
 {
   public:
-    impl(peer_link_settings settings, peer_metrics& metrics, receiver on_bytes)
-        : settings_(std::move(settings)), metrics_(metrics),
-          inbox_(settings_.address + ':' + std::to_string(settings_.port),
-                 std::move(on_bytes))
+    impl(boost::asio::io_context& io, peer_link_settings settings,
+         peer_metrics& metrics, receiver on_bytes,
+         violation_handler on_violation)
+        : io_(io), settings_(std::move(settings)), metrics_(metrics),
+          inbox_(io, settings_.address + ':' + std::to_string(settings_.port),
+                 std::move(on_bytes), std::move(on_violation))
     {
     }
 
@@ -41,8 +43,8 @@
         if (!target.link)
         {
             target.address = address->second;
-            target.link =
-                std::make_unique<push_link>(settings_.address, target.address);
+            target.link = std::make_unique<push_link>(io_, settings_.address,
+                                                      target.address);
         }
         transmit(*target.link, to, std::move(messages));
     }
@@ -52,7 +54,7 @@
     {
         auto& link = seeds_[address];
         if (!link)
-            link = std::make_unique<push_link>(settings_.address, address);
+            link = std::make_unique<push_link>(io_, settings_.address, address);
         transmit(*link, core::instance_id{}, std::move(messages));
     }
 
@@ -95,7 +97,7 @@
         std::unique_ptr<push_link> link;
     };
 
-    /// Length prefix of nng plus the TCP and IP headers of one segment.
+    /// Length prefix of a message plus the TCP and IP headers of one segment.
     static constexpr std::size_t framing = 8 + 52;
 
     /// A restarted peer cannot read what was sent to its earlier self, and the
@@ -129,6 +131,7 @@
         ++metrics_.sent_messages;
     }
 
+    boost::asio::io_context& io_;
     peer_link_settings settings_;
     peer_metrics& metrics_;
     wire::replay_filter filter_;
@@ -142,10 +145,12 @@
     pull_inbox inbox_;
 };
 
-peer_link::peer_link(peer_link_settings settings, peer_metrics& metrics,
-                     receiver on_bytes)
-    : impl_(std::make_unique<impl>(std::move(settings), metrics,
-                                   std::move(on_bytes)))
+peer_link::peer_link(boost::asio::io_context& io, peer_link_settings settings,
+                     peer_metrics& metrics, receiver on_bytes,
+                     violation_handler on_violation)
+    : impl_(std::make_unique<impl>(io, std::move(settings), metrics,
+                                   std::move(on_bytes),
+                                   std::move(on_violation)))
 {
 }
 
--- a/packages/adapters/lib/report.cpp
+++ b/packages/adapters/lib/report.cpp
@@ -124,6 +124,9 @@
     single(out, "peer_dropped_invalid_total", "counter",
            "Datagrams dropped as forged, repeated or malformed.",
            number(peers.dropped_invalid));
+    single(out, "peer_connections_unreadable_total", "counter",
+           "Connections of other instances closed as unreadable.",
+           number(peers.unreadable_connections));
     single(out, "platform_bytes_total", "counter",
            "Bytes to and from the platform.", number(traffic.platform_bytes));
     single(out, "platform_calls_total", "counter", "Calls to the platform.",
--- a/packages/adapters/unittests/nng_link_test.cpp
+++ b/packages/adapters/unittests/nng_link_test.cpp
@@ -13,6 +13,7 @@
 #include <iterator>
 #include <thread>
 
+#include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
 
--- a/utils/measurement/slopes.cpp
+++ b/utils/measurement/slopes.cpp
@@ -25,8 +25,8 @@
 using clock = std::chrono::steady_clock;
 
 constexpr const char* key = "a-key-for-measuring";
-/// Bytes of nng's length prefix, and of the TCP and IP headers of a segment.
-constexpr std::size_t nng_framing = 8;
+/// Bytes of a message's length, and of the TCP and IP headers of a segment.
+constexpr std::size_t length_framing = 8;
 constexpr std::size_t tcp_framing = 52;
 
 double microseconds_since(clock::time_point from)
@@ -94,7 +94,7 @@
     content.incarnation = 0x12345678;
     content.sequence = 100000;
     content.messages = std::move(messages);
-    return wire::encode(content, key).size() + nng_framing;
+    return wire::encode(content, key).size() + length_framing;
 }
 
 enqueue usual_enqueue()
