A link whose queue is full drops its oldest message instead of the newest

Cause: as nng's queue did, a full queue (64 messages) refused the newest message and kept the oldest, so a peer that was away or slow read old news first and the newest not at all.

Fix: the oldest that is not partly written is dropped, until the new one fits into 64 messages and 1 MB; a single message may be larger. The counter of dropped datagrams counts it as before.

--- a/packages/adapters/include/sycamorelock/adapters/peer_link.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/peer_link.hpp
@@ -50,7 +50,8 @@
     /// moved. Links are opened when first used.
     void set_members(const core::membership& list);
 
-    /// Sends to a listed instance; drops the messages if its queue is full.
+    /// Sends to a listed instance; drops the oldest messages if its queue is
+    /// full.
     void send(core::instance_id to, std::vector<core::peer_message> messages);
 
     /// Sends to an address whose instance is not known yet.
--- a/packages/adapters/lib/nng_link.hpp
+++ b/packages/adapters/lib/nng_link.hpp
@@ -31,8 +31,8 @@
     push_link(const push_link&) = delete;
     push_link& operator=(const push_link&) = delete;
 
-    /// Keeps a message until it can be written. Returns false if it was dropped
-    /// because too many wait.
+    /// Keeps a message until it can be written. Returns false if older ones
+    /// were dropped because too many wait.
     bool send(std::string_view bytes);
 
     /// The connection stood once and does not now.
--- a/packages/adapters/lib/peer_link.cpp
+++ b/packages/adapters/lib/peer_link.cpp
@@ -123,10 +123,7 @@
             ++metrics_.sent_by_type.at(message.index());
         const std::string bytes = wire::encode(content, settings_.key);
         if (!link.send(bytes))
-        {
             ++metrics_.dropped_full;
-            return;
-        }
         metrics_.sent_bytes += bytes.size() + framing;
         ++metrics_.sent_messages;
     }
--- a/packages/adapters/lib/push_link.cpp
+++ b/packages/adapters/lib/push_link.cpp
@@ -78,12 +78,9 @@
         const std::lock_guard lock(mutex_);
         if (now_ == state::connected && waiting_.empty())
             return write_at_once(bytes);
-        if (waiting_.size() >= send_queue ||
-            (!waiting_.empty() &&
-             waiting_bytes_ + bytes.size() > send_queue_bytes))
-            return false;
+        const bool fits = make_room(bytes.size());
         keep(bytes, 0);
-        return true;
+        return fits;
     }
 
     void redial()
@@ -239,6 +236,26 @@
         dial_later();
     }
 
+    /// Drops the oldest messages until another one fits, as newer ones replace
+    /// what they tell. Returns false if it dropped any.
+    bool make_room(std::size_t size)
+    {
+        bool fits = true;
+        while (!waiting_.empty() && (waiting_.size() >= send_queue ||
+                                     waiting_bytes_ + size > send_queue_bytes))
+        {
+            // The rest of a message that is partly written must follow.
+            const bool begun = waiting_.front().written > 0;
+            if (begun && waiting_.size() == 1)
+                break;
+            const auto oldest = waiting_.begin() + (begun ? 1 : 0);
+            waiting_bytes_ -= oldest->frame.size();
+            waiting_.erase(oldest);
+            fits = false;
+        }
+        return fits;
+    }
+
     void keep(std::string_view bytes, std::size_t written)
     {
         const auto prefix = sp::length_prefix(bytes.size());
