--- a/packages/core/unittests/direct_notices_test.cpp
+++ b/packages/core/unittests/direct_notices_test.cpp
@@ -6,6 +6,7 @@
 using namespace sycamorelock::core;
 using namespace sycamorelock::core::direct;
 using std::chrono::minutes;
+using std::chrono::seconds;
 
 namespace
 {
@@ -230,3 +231,16 @@
     cr_expect_not(fix.decides.may_fetch(start, plan));
     cr_expect(fix.decides.may_fetch(start + milliseconds(3000), plan));
 }
+
+// Guards against requests in the rest of a rest longer than a minute: an honest
+// endpoint that asks for 90 s gets at most two before it ends.
+Test(direct_notices, a_rest_beyond_a_minute_lets_two_requests_through)
+{
+    fixture fix;
+    fix.decides.note_rest(start, record("one", "one:1"), seconds(90));
+    int sent = 0;
+    for (int at = 1; at < 90; ++at)
+        sent += fix.used(start + seconds(at)).contains("one") ? 1 : 0;
+    cr_expect_leq(sent, 2, "%d requests within the rest", sent);
+    cr_expect(fix.used(start + seconds(91)).contains("one"));
+}
