The header of links and inboxes is named after what they do

Tests change in their include only; the two programs named after nng keep their names, which issues and postmortems use, and say why.

--- a/packages/adapters/lib/direct/exchange_links.hpp
+++ b/packages/adapters/lib/direct/exchange_links.hpp
@@ -1,7 +1,7 @@
 // Links to the other instances of a fleet that routes directly.
 #pragma once
 
-#include "../nng_link.hpp"
+#include "../push_pull.hpp"
 
 #include "sycamorelock/core/strong_types.hpp"
 
--- a/packages/adapters/lib/peer_link.cpp
+++ b/packages/adapters/lib/peer_link.cpp
@@ -1,7 +1,7 @@
 // One inbox to receive, one link for each peer.
 #include "sycamorelock/adapters/peer_link.hpp"
 
-#include "nng_link.hpp"
+#include "push_pull.hpp"
 
 #include <map>
 
--- a/packages/adapters/lib/push_link.cpp
+++ b/packages/adapters/lib/push_link.cpp
@@ -1,7 +1,7 @@
 // The sending end of a connection between instances.
 #include "http.hpp"
-#include "nng_link.hpp"
 #include "peer_socket.hpp"
+#include "push_pull.hpp"
 #include "shared_io.hpp"
 #include "sp_framing.hpp"
 
--- a/packages/adapters/unittests/close_order_test.cpp
+++ b/packages/adapters/unittests/close_order_test.cpp
@@ -2,7 +2,7 @@
 // order: the calls of libc that read and write are the test's own here. They
 // hand over the first part of a message and return only once the close has
 // begun. Short reads and short writes are what TCP allows.
-#include "../lib/nng_link.hpp"
+#include "../lib/push_pull.hpp"
 #include "own_ip.hpp"
 
 #include <criterion/criterion.h>
--- a/packages/adapters/unittests/nng_inbox_test.cpp
+++ b/packages/adapters/unittests/nng_inbox_test.cpp
@@ -1,7 +1,8 @@
 // The inbox between instances while others connect and send. A program of its
 // own: when the close of a socket hangs, the runner of the tests aborts and has
-// no result of any of its tests.
-#include "../lib/nng_link.hpp"
+// no result of any of its tests. Named after the library of the links when the
+// fault was found.
+#include "../lib/push_pull.hpp"
 #include "own_ip.hpp"
 
 #include <criterion/criterion.h>
--- a/packages/adapters/unittests/nng_link_test.cpp
+++ b/packages/adapters/unittests/nng_link_test.cpp
@@ -1,4 +1,5 @@
-// Sockets between instances: what is closed while messages come must end.
+// Sockets between instances: what is closed while messages come must end. Named
+// after the library of the links when the faults were found.
 #include "../lib/direct/exchange_links.hpp"
 #include "own_ip.hpp"
 
--- a/packages/adapters/unittests/push_pull_test.cpp
+++ b/packages/adapters/unittests/push_pull_test.cpp
@@ -1,6 +1,6 @@
 // Links and inboxes between instances that run on the caller's io_context, and
 // what a peer may do to them.
-#include "../lib/nng_link.hpp"
+#include "../lib/push_pull.hpp"
 #include "../lib/sp_framing.hpp"
 #include "own_ip.hpp"
 
