A peer that answers a link with messages ends its connection

Found in review: a link reads its peer's greeting and nothing else, but took empty messages (their length, 0, is within the limit of 0), so a hostile listener could keep the event loop of the control thread busy. Any message ends the connection now. push_pull/a_peer_that_sends_to_a_link_ends_its_connection fails without the change.

--- a/packages/adapters/lib/push_link.cpp
+++ b/packages/adapters/lib/push_link.cpp
@@ -214,9 +214,11 @@
             size = socket_->read_some(asio::buffer(bytes), error);
         if (error == asio::error::would_block)
             return wait_to_read();
+        bool sent_message = false;
         const auto found =
-            reader_.read({bytes.data(), size}, [](const std::string&) {});
-        if (error || found != sp::violation::none)
+            reader_.read({bytes.data(), size},
+                         [&](const std::string&) { sent_message = true; });
+        if (error || sent_message || found != sp::violation::none)
             return lose();
         if (reader_.greeted() && now_ != state::connected)
         {
--- a/packages/adapters/unittests/push_pull_test.cpp
+++ b/packages/adapters/unittests/push_pull_test.cpp
@@ -336,3 +336,21 @@
     for (std::size_t i = 0; i < back.messages.size(); ++i)
         cr_expect(back.messages[i] == std::to_string(dropped + int(i)));
 }
+
+// A link only sends: whoever answers it with messages is no inbox, and must not
+// keep the loop busy with them.
+Test(push_pull, a_peer_that_sends_to_a_link_ends_its_connection, .timeout = 20)
+{
+    boost::asio::io_context io(1);
+    const std::string ip = own_ip(24);
+    tcp::acceptor stranger(io, endpoint_of(ip));
+    push_link link(io, own_ip(25), ip + port);
+    tcp::socket held(io);
+    stranger.accept(held);
+    const auto greeting = sp::greeting_of(sp::protocol::pull);
+    boost::asio::write(held, boost::asio::buffer(greeting));
+    cr_assert(runs_until(io, [&] { return link.connected(); }));
+    const auto empty = sp::length_prefix(0);
+    boost::asio::write(held, boost::asio::buffer(empty));
+    cr_expect(runs_until(io, [&] { return link.lost(); }));
+}
