A resting link does not take a cut for the end of its peer

Found on reading the diff: links had keepalive probes after 30 s, so that one which rests through a cut of a minute counted as lost, which placement takes for an ended process. nng's links had the kernel's two hours.

No test: the difference shows after a cut of a minute between machines, which the proxy of the tests cannot make (it ends connections properly).

--- a/packages/adapters/lib/pull_inbox.cpp
+++ b/packages/adapters/lib/pull_inbox.cpp
@@ -106,6 +106,7 @@
     void add(const peer_pointer& from)
     {
         prepare_peer_socket(from->socket);
+        probe_resting_peer(from->socket);
         const auto greeting = sp::greeting_of(sp::protocol::pull);
         error_code error;
         from->socket.write_some(asio::buffer(greeting), error);
