Failure domains that operators drain get nothing new

An operator's item is read with the configuration, by one listing instead of a get, so a start makes as many calls to the store as before; changes come with the watch, and every report tells them. The newest statement about a domain holds by its generation in the store, so no older picture ends a drain or brings one back. Endpoints there are chosen for nothing: first sends, repeats, resumed streams, requests that wait for a connection, fetches out of the domain. Streams that run go on. With all domains drained requests are refused at once.

Core: whose statement holds, listings against news, names without end.

--- a/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
@@ -5,6 +5,7 @@
 #include "sycamorelock/adapters/direct/store_watch.hpp"
 #include "sycamorelock/adapters/direct/traffic_plane.hpp"
 #include "sycamorelock/core/direct/cache_copies.hpp"
+#include "sycamorelock/core/direct/drained_domains.hpp"
 #include "sycamorelock/core/direct/endpoint_registry.hpp"
 #include "sycamorelock/core/direct/exchange_tree.hpp"
 #include "sycamorelock/core/direct/help_pace.hpp"
@@ -56,6 +57,7 @@
 
   private:
     void on_config(const std::string& text, const std::string& source);
+    void on_operators(const operator_page& all);
     void on_list(const endpoint_page& all);
     void
     note_unreadable(const std::vector<core::direct::unreadable_entry>& entries);
@@ -94,6 +96,9 @@
     confirmed_store_view(core::time_point at) const;
     [[nodiscard]] std::vector<core::direct::endpoint_record> endpoints() const;
     void choose_reader(core::time_point at, bool is_aggregator);
+    /// Logs changed drains and puts them in force.
+    void drains_changed(const std::vector<core::direct::domain_drain>& changed,
+                        const std::string& source);
     void endpoints_changed();
     /// \param source "store", or the instance that told it.
     void note_endpoint(const core::direct::endpoint_record& record,
@@ -114,6 +119,7 @@
     traffic_plane& traffic_;
     core::direct::peers peers_;
     core::direct::endpoint_registry registry_;
+    core::direct::drained_domains drains_;
     core::direct::unreadable_entries unreadable_;
     std::unique_ptr<exchange_links> links_;
     store_watch store_;
--- a/packages/adapters/include/sycamorelock/adapters/direct/dialect.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/dialect.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "sycamorelock/core/direct/catalogue.hpp"
+#include "sycamorelock/core/direct/drained_domains.hpp"
 #include "sycamorelock/core/direct/endpoint_registry.hpp"
 #include "sycamorelock/core/direct/prefix_cache.hpp"
 #include "sycamorelock/core/direct/unreadable_entries.hpp"
@@ -79,12 +80,25 @@
 {
     std::uint64_t revision = 0;
     std::optional<std::string> config;
+    std::vector<core::direct::domain_drain> drains;
     std::vector<core::direct::endpoint_record> endpoints;
     std::vector<endpoint_gone> gone;
     /// Entries that name no endpoint to use.
     std::vector<core::direct::unreadable_entry> unreadable;
 };
 
+/// One page of a listing of what operators have written.
+struct operator_page
+{
+    std::uint64_t revision = 0;
+    std::optional<std::string> config;
+    /// Drains that are active.
+    std::vector<core::direct::domain_drain> drains;
+    std::vector<core::direct::unreadable_entry> unreadable;
+    /// Where the next page begins, if there is one.
+    std::optional<std::string> next;
+};
+
 /// One page of a listing of the endpoints.
 struct endpoint_page
 {
@@ -126,7 +140,7 @@
         D::ready_path()
         } -> std::same_as<std::string>;
     {
-        D::config_target()
+        D::operators_target(text)
         } -> std::same_as<std::string>;
     {
         D::list_target(text)
@@ -135,8 +149,8 @@
         D::watch_target(std::uint64_t{}, milliseconds{})
         } -> std::same_as<std::string>;
     {
-        D::read_config(body)
-        } -> std::same_as<store_news>;
+        D::read_operators(body)
+        } -> std::same_as<operator_page>;
     {
         D::read_list(body)
         } -> std::same_as<endpoint_page>;
@@ -159,10 +173,10 @@
     void (*write_attempt)(header_fields&, const attempt_meta&);
     answer_meta (*read_answer)(const header_fields&, unsigned status);
     std::string (*ready_path)();
-    std::string (*config_target)();
+    std::string (*operators_target)(std::string_view after);
     std::string (*list_target)(std::string_view after);
     std::string (*watch_target)(std::uint64_t revision, milliseconds wait);
-    store_news (*read_config)(const std::string&);
+    operator_page (*read_operators)(const std::string&);
     endpoint_page (*read_list)(const std::string&);
     store_news (*read_watch)(const std::string&);
     core::direct::catalogue (*read_catalogue)(const std::string&);
@@ -170,10 +184,10 @@
 
 template <wire_dialect D> constexpr dialect_table table_of()
 {
-    return {&D::read_request,  &D::set_by_us,   &D::always_forwarded,
-            &D::write_attempt, &D::read_answer, &D::ready_path,
-            &D::config_target, &D::list_target, &D::watch_target,
-            &D::read_config,   &D::read_list,   &D::read_watch,
+    return {&D::read_request,     &D::set_by_us,   &D::always_forwarded,
+            &D::write_attempt,    &D::read_answer, &D::ready_path,
+            &D::operators_target, &D::list_target, &D::watch_target,
+            &D::read_operators,   &D::read_list,   &D::read_watch,
             &D::read_catalogue};
 }
 
--- a/packages/adapters/include/sycamorelock/adapters/direct/store_watch.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/store_watch.hpp
@@ -19,7 +19,8 @@
 struct store_listener
 {
     std::function<void(const std::string& config)> on_config;
-    /// A complete listing: all pages as one.
+    /// Complete listings: all pages as one. That of the operators comes first.
+    std::function<void(const operator_page&)> on_operators;
     std::function<void(const endpoint_page&)> on_list;
     std::function<void(const store_news&)> on_news;
     /// The store answered. Comes before the news that the answer brings.
--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
@@ -41,6 +41,8 @@
     void install(std::shared_ptr<const core::direct::catalogue> newer);
     void
     set_endpoints(std::map<std::string, core::direct::endpoint_record> all);
+    /// Failure domains whose endpoints get nothing new.
+    void set_drained(std::set<core::domain_id> domains);
     /// Up to when the endpoints known here were right.
     void note_endpoints_current(core::time_point at);
     /// Whether requests wait long before they are read, or for ever.
--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -68,6 +68,8 @@
     entry_unreadable = 3104,
     endpoint_missing = 3105,
     endpoint_rests = 3106,
+    domain_drained = 3107,
+    domain_taken_back = 3108,
     peers_changed = 3201,
     link_renewed = 3202,
     config_passed_on = 3203,
--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -39,6 +39,7 @@
              incarnation, settings.seeds),
       store_(io, settings.store, dialect, log,
              {[this](const std::string& text) { on_config(text, "store"); },
+              [this](const operator_page& all) { on_operators(all); },
               [this](const endpoint_page& all) { on_list(all); },
               [this](const store_news& news) { on_news(news); },
               [this] { note_uptime(uptime_.answered(now())); }}),
@@ -311,6 +312,9 @@
     single(out, "config_version", "gauge", "Version in force.", version_);
     single(out, "endpoints", "gauge", "Endpoints known.",
            std::uint64_t{registry_.all().size()});
+    single(out, "domains_drained", "gauge",
+           "Failure domains that operators drain.",
+           std::uint64_t{drains_.active().size()});
     single(out, "store_entries_unreadable", "gauge",
            "Entries of the store that name no endpoint to use.",
            std::uint64_t{unreadable_.count()});
--- a/packages/adapters/lib/direct/control_plane_endpoints.cpp
+++ b/packages/adapters/lib/direct/control_plane_endpoints.cpp
@@ -56,6 +56,30 @@
     }
 }
 
+void control_plane::on_operators(const operator_page& all)
+{
+    for (const core::direct::unreadable_entry& each : all.unreadable)
+        log_.write(direct_event::entry_unreadable,
+                   {{"entry", each.boot}, {"reason", each.reason}});
+    drains_changed(drains_.replace(now(), all.revision, all.drains),
+                   store_source);
+}
+
+void control_plane::drains_changed(
+    const std::vector<core::direct::domain_drain>& changed,
+    const std::string& source)
+{
+    if (changed.empty())
+        return;
+    for (const core::direct::domain_drain& each : changed)
+        log_.write(each.active ? direct_event::domain_drained
+                               : direct_event::domain_taken_back,
+                   {{"domain", std::to_string(each.domain.value())},
+                    {"revision", std::to_string(each.revision)},
+                    {"source", source}});
+    traffic_.set_drained(drains_.active());
+}
+
 void control_plane::on_list(const endpoint_page& all)
 {
     registry_.replace(all.endpoints);
@@ -72,6 +96,10 @@
 
 void control_plane::on_news(const store_news& news)
 {
+    std::vector<core::direct::domain_drain> drains = news.drains;
+    std::erase_if(drains, [this](const core::direct::domain_drain& each)
+                  { return !drains_.put(now(), each); });
+    drains_changed(drains, store_source);
     bool changed = !news.unreadable.empty();
     for (const endpoint_record& record : news.endpoints)
     {
@@ -120,6 +148,7 @@
     view.age = std::chrono::ceil<milliseconds>(at - store_.answered_at());
     view.up = uptime_.told_at(at);
     view.digest = digest_;
+    view.drains = drains_.told_at(at);
     return view;
 }
 
@@ -166,6 +195,10 @@
 {
     const core::time_point at = now();
     const core::direct::store_view& told = report.store;
+    std::vector<core::direct::domain_drain> drains = told.drains;
+    std::erase_if(drains, [this, at](const core::direct::domain_drain& each)
+                  { return !drains_.put(at, each); });
+    drains_changed(drains, report.sender);
     bool wanted = told.revision > store_.revision();
     if (report.part == core::direct::report_part::rest)
     {
--- a/packages/adapters/lib/direct/store_watch.cpp
+++ b/packages/adapters/lib/direct/store_watch.cpp
@@ -100,42 +100,66 @@
   private:
     asio::awaitable<bool> read_all()
     {
-        // The revision comes from before the listing: what changes meanwhile
-        // is told again by the watch.
-        const auto config =
-            co_await call(dialect_.config_target(), read_timeout);
-        if (!config || config->result() != http::status::ok)
-            co_return failed(config);
-        endpoint_page all;
+        // The revision comes from the first page: what changes meanwhile is
+        // told again by the watch.
+        const auto operators = co_await read_pages<operator_page>(
+            dialect_.operators_target, dialect_.read_operators,
+            [](operator_page& all, operator_page&& page)
+            {
+                if (page.config)
+                    all.config = std::move(page.config);
+                append(all.drains, page.drains);
+            });
+        if (!operators)
+            co_return false;
+        const auto endpoints = co_await read_pages<endpoint_page>(
+            dialect_.list_target, dialect_.read_list,
+            [](endpoint_page& all, endpoint_page&& page)
+            { append(all.endpoints, page.endpoints); });
+        if (!endpoints)
+            co_return false;
+        succeeded();
+        revision_ = std::min(operators->revision, endpoints->revision);
+        if (operators->config)
+            listener_.on_config(*operators->config);
+        listener_.on_operators(*operators);
+        listener_.on_list(*endpoints);
+        co_return true;
+    }
+
+    template <class Item>
+    static void append(std::vector<Item>& to, std::vector<Item>& from)
+    {
+        to.insert(to.end(), std::make_move_iterator(from.begin()),
+                  std::make_move_iterator(from.end()));
+    }
+
+    /// A whole listing; nothing if a page could not be read.
+    /// \param take adds what a page holds to what came before.
+    template <class Page, class Target, class Read, class Take>
+    asio::awaitable<std::optional<Page>> read_pages(Target target, Read read,
+                                                    Take take)
+    {
+        Page all;
         std::optional<std::string> after = "";
-        std::uint64_t first_revision = 0;
         while (after)
         {
-            const auto page =
-                co_await call(dialect_.list_target(*after), read_timeout);
-            if (!page || page->result() != http::status::ok)
-                co_return failed(page);
-            const auto read = decoded(dialect_.read_list, page->body());
-            if (!read)
-                co_return failed(page);
-            if (first_revision == 0)
-                first_revision = read->revision;
-            all.endpoints.insert(all.endpoints.end(), read->endpoints.begin(),
-                                 read->endpoints.end());
-            all.unreadable.insert(all.unreadable.end(),
-                                  read->unreadable.begin(),
-                                  read->unreadable.end());
-            after = read->next;
+            const auto answer = co_await call(target(*after), read_timeout);
+            auto page = answer && answer->result() == http::status::ok
+                            ? decoded(read, answer->body())
+                            : std::nullopt;
+            if (!page)
+            {
+                failed(answer);
+                co_return std::nullopt;
+            }
+            if (all.revision == 0)
+                all.revision = page->revision;
+            append(all.unreadable, page->unreadable);
+            after = std::move(page->next);
+            take(all, std::move(*page));
         }
-        const auto news = decoded(dialect_.read_config, config->body());
-        if (!news)
-            co_return failed(config);
-        succeeded();
-        revision_ = std::min(first_revision, news->revision);
-        if (news->config)
-            listener_.on_config(*news->config);
-        listener_.on_list(all);
-        co_return true;
+        co_return all;
     }
 
     asio::awaitable<bool> follow()
@@ -157,7 +181,7 @@
         if (news->config)
             listener_.on_config(*news->config);
         if (!news->endpoints.empty() || !news->gone.empty() ||
-            !news->unreadable.empty())
+            !news->unreadable.empty() || !news->drains.empty())
             listener_.on_news(*news);
         co_return true;
     }
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -334,6 +334,12 @@
                { impl->router().set_endpoints(now(), all); });
 }
 
+void traffic_plane::set_drained(std::set<core::domain_id> domains)
+{
+    asio::post(impl_->io(), [impl = impl_, domains = std::move(domains)]
+               { impl->router().set_drained(domains); });
+}
+
 void traffic_plane::on_report(core::direct::exchange_report report)
 {
     asio::post(impl_->io(), [impl = impl_, report = std::move(report)]
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -131,6 +131,12 @@
     event_kind{3106, info, "endpoint_rests",
                "An endpoint turned a request away and wants none from this "
                "instance for a time."},
+    event_kind{3107, info, "domain_drained",
+               "Operators drain a failure domain; its endpoints get nothing "
+               "new."},
+    event_kind{3108, info, "domain_taken_back",
+               "Operators have taken a failure domain back; its endpoints may "
+               "be cold."},
     event_kind{3201, info, "peers_changed",
                "The number of other instances heard lately changed."},
     event_kind{3202, info, "link_renewed",
--- a/packages/core/include/sycamorelock/core/direct/exchange.hpp
+++ b/packages/core/include/sycamorelock/core/direct/exchange.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "sycamorelock/core/direct/account_shares.hpp"
+#include "sycamorelock/core/direct/drained_domains.hpp"
 #include "sycamorelock/core/direct/endpoint_registry.hpp"
 #include "sycamorelock/core/direct/engine_estimator.hpp"
 #include "sycamorelock/core/direct/load_ledger.hpp"
@@ -86,6 +87,8 @@
     std::uint64_t digest = 0;
     /// All endpoints, for an instance that is behind.
     std::optional<std::vector<endpoint_record>> endpoints;
+    /// What operators wrote about draining failure domains, always all of it.
+    std::vector<domain_drain> drains;
 };
 
 /// Periodic report of one instance. Ledger and demands are complete states;
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -54,6 +54,8 @@
 {
     /// No endpoint of the service is known or usable.
     no_endpoint,
+    /// Operators drain the failure domains of all endpoints that do not leave.
+    drained,
     /// All endpoints that do not leave have asked for rest.
     resting,
     /// The first token would come too late.
@@ -113,6 +115,8 @@
     leaving,
     /// The endpoint has asked for rest.
     resting,
+    /// Operators drain the endpoint's failure domain.
+    drained,
 };
 std::string_view to_string(withheld_reason reason);
 
@@ -139,6 +143,9 @@
     }
     void set_endpoints(time_point now,
                        const std::map<std::string, endpoint_record>& all);
+    /// Failure domains that operators drain: nothing new goes to their
+    /// endpoints, whatever way it would take.
+    void set_drained(const std::set<domain_id>& domains);
     [[nodiscard]] bool knows(endpoint_id endpoint) const
     {
         return endpoints_.contains(endpoint);
@@ -222,6 +229,8 @@
         bool said_leaving = false;
         /// It has asked for rest until then.
         time_point rests_until;
+        /// Operators drain its failure domain.
+        bool is_drained = false;
 
         /// Takes over what the endpoint has said of itself.
         void apply(const endpoint_notices& notices)
@@ -239,7 +248,8 @@
         }
         [[nodiscard]] bool is_usable(time_point now) const
         {
-            return !is_leaving() && !is_resting(now) && !health.set_aside(now);
+            return !is_leaving() && !is_drained && !is_resting(now) &&
+                   !health.set_aside(now);
         }
     };
     struct candidate
@@ -321,6 +331,9 @@
     [[nodiscard]] placement_decision place(const weighing& of,
                                            candidate best) const;
     void renew_guesses();
+    /// Whether operators drain the domains of all endpoints of a service that
+    /// do not leave; false if there are none.
+    [[nodiscard]] bool all_drained(service_id service) const;
     /// Puts a new notice of an endpoint in force.
     void apply_notices(endpoint_id endpoint);
     /// How long answers of engines of a service hold a slot.
@@ -359,6 +372,7 @@
     std::map<endpoint_id, endpoint_state> endpoints_;
     /// Into `endpoints_`, whose elements stay where they are.
     std::map<service_id, std::vector<const endpoint_state*>> by_service_;
+    std::set<domain_id> drained_;
     endpoint_notices notices_;
     load_ledger ledger_;
     prefix_cache cache_;
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -51,6 +51,8 @@
     {
     case refusal::no_endpoint:
         return "no_endpoint";
+    case refusal::drained:
+        return "drained";
     case refusal::resting:
         return "resting";
     case refusal::overloaded:
@@ -73,6 +75,8 @@
         return "leaving";
     case withheld_reason::resting:
         return "resting";
+    case withheld_reason::drained:
+        return "drained";
     }
     return "unknown";
 }
@@ -119,6 +123,8 @@
         return withheld_reason::gone;
     if (found->second.is_leaving())
         return withheld_reason::leaving;
+    if (found->second.is_drained)
+        return withheld_reason::drained;
     if (found->second.is_resting(now))
         return withheld_reason::resting;
     return std::nullopt;
@@ -160,7 +166,7 @@
         return std::nullopt;
     for (const endpoint_state* state : listed->second)
     {
-        if (state->is_leaving())
+        if (state->is_leaving() || state->is_drained)
             continue;
         if (!state->is_resting(now))
             return std::nullopt;
@@ -190,6 +196,7 @@
             state = known->second;
         state.record = record;
         state.id = id;
+        state.is_drained = drained_.contains(record.domain);
         state.apply(notices_);
     }
     for (const auto& [id, state] : endpoints_)
@@ -206,6 +213,30 @@
     renew_guesses();
 }
 
+void router::set_drained(const std::set<domain_id>& domains)
+{
+    drained_ = domains;
+    for (auto& [id, state] : endpoints_)
+        state.is_drained = drained_.contains(state.record.domain);
+}
+
+bool router::all_drained(service_id service) const
+{
+    const auto listed = by_service_.find(service);
+    if (listed == by_service_.end())
+        return false;
+    bool any = false;
+    for (const endpoint_state* state : listed->second)
+    {
+        if (state->is_leaving())
+            continue;
+        if (!state->is_drained)
+            return false;
+        any = true;
+    }
+    return any;
+}
+
 const service* router::find_service(service_id id) const
 {
     const auto found = config_->services.find(id);
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -322,9 +322,13 @@
                                                  service_id service)
 {
     static constexpr milliseconds soon{500};
+    // A drain takes seconds.
+    static constexpr milliseconds drained_pause{2000};
     const std::optional<milliseconds> pause = rest_pause(now, service);
     if (pause)
         return {refusal::resting, *pause, 0};
+    if (all_drained(service))
+        return refuse(refusal::drained, to_ms(drained_pause), 0);
     return {refusal::no_endpoint, soon, 0};
 }
 
--- /dev/null
+++ b/packages/core/unittests/direct_drains_test.cpp
@@ -0,0 +1,152 @@
+// Failure domains that operators drain: whose statement holds, and where
+// requests go.
+#include "direct_fixture.hpp"
+
+#include "sycamorelock/core/direct/drained_domains.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace sycamorelock::core;
+using namespace sycamorelock::core::direct;
+using std::chrono::seconds;
+
+namespace
+{
+
+const domain_id hall = domain_id::of("hall");
+const domain_id yard = domain_id::of("yard");
+
+domain_drain told(domain_id domain, std::uint64_t revision, bool active)
+{
+    return {domain, revision, active, duration(0)};
+}
+
+/// Two engines, one in each domain.
+struct fixture : two_engines
+{
+    explicit fixture(double token_bytes = 0) : two_engines(10000, token_bytes)
+    {
+        std::map<std::string, endpoint_record> all;
+        all["one"] = record("one", hall);
+        all["two"] = record("two", yard);
+        decides.set_endpoints(start, all);
+    }
+
+    static endpoint_record record(const std::string& boot, domain_id domain)
+    {
+        endpoint_record made;
+        made.boot = boot;
+        made.address = boot + ":1";
+        made.service = drafts;
+        made.domain = domain;
+        made.slots = 64;
+        return made;
+    }
+
+    routing_decision decide(const std::set<endpoint_id>& tried = {})
+    {
+        request_profile asked = ask_for({{1, 1000}, {2, 100}});
+        return decides.decide(start, asked, drafts, tried, !tried.empty());
+    }
+};
+
+} // namespace
+
+Test(direct_drains, the_newest_statement_holds_whoever_tells_it)
+{
+    drained_domains drains;
+    cr_expect(drains.put(start, told(hall, 5, true)));
+    cr_expect(drains.is_drained(hall));
+    cr_expect_not(drains.put(start, told(hall, 5, true)));
+    cr_expect_not(drains.put(start, told(hall, 4, false)));
+    cr_expect(drains.is_drained(hall));
+    cr_expect(drains.put(start, told(hall, 7, false)));
+    cr_expect_not(drains.put(start, told(hall, 6, true)), "an older picture");
+    cr_expect_not(drains.is_drained(hall));
+    cr_expect_not(drains.is_drained(yard));
+}
+
+Test(direct_drains, a_listing_ends_only_what_is_older)
+{
+    drained_domains drains;
+    drains.put(start, told(hall, 5, true));
+    drains.put(start, told(yard, 9, true));
+    const auto changed = drains.replace(start, 8, {});
+    cr_assert_eq(changed.size(), 1U);
+    cr_expect(changed[0] == told(hall, 8, false));
+    cr_expect(drains.active() == std::set<domain_id>{yard});
+    // The drain that was removed is not brought back by who knows less.
+    cr_expect_not(drains.put(start, told(hall, 5, true)));
+    cr_expect_eq(drains.replace(start, 12, {told(yard, 9, true)}).size(), 0U);
+}
+
+Test(direct_drains, others_are_told_how_long_ago_a_drain_ended)
+{
+    drained_domains drains;
+    drains.put(start, told(hall, 5, true));
+    drains.put(start, {yard, 6, false, seconds(1)});
+    const auto all = drains.told_at(start + seconds(2));
+    cr_assert_eq(all.size(), 2U);
+    for (const domain_drain& each : all)
+        cr_expect(each.ended_for ==
+                  (each.domain == yard ? seconds(3) : seconds(0)));
+}
+
+Test(direct_drains, names_without_end_take_no_memory_without_end)
+{
+    drained_domains drains;
+    for (std::uint32_t i = 0; i < 2 * drained_domains::most; ++i)
+        drains.put(start, told(domain_id(i), 1, true));
+    cr_expect_eq(drains.active().size(), drained_domains::most);
+    cr_expect(drains.put(start, told(domain_id(3), 2, false)));
+}
+
+// First sends, repeats, requests that wait for a connection, and fetches.
+Test(direct_drains, nothing_goes_to_a_drained_domain_on_any_way)
+{
+    fixture fix(100);
+    const auto first = std::get<placement_decision>(fix.decide());
+    const std::string other = first.endpoint.boot == "one" ? "two" : "one";
+    fix.decides.set_drained({first.endpoint.domain});
+    cr_expect(std::get<placement_decision>(fix.decide()).endpoint.boot ==
+              other);
+    cr_expect(fix.decides.withheld(start, first) == withheld_reason::drained);
+    cr_expect_not(fix.decides.may_fetch(
+        start, {first.endpoint.id(), first.endpoint.address, 1000, 5}));
+    const endpoint_id second =
+        fixture::record(other, first.endpoint.domain).id();
+    cr_expect(std::holds_alternative<refusal_decision>(fix.decide({second})));
+    fix.decides.set_drained({});
+    cr_expect_not(fix.decides.withheld(start, first).has_value());
+    cr_expect(std::get<placement_decision>(fix.decide()).endpoint.boot ==
+              first.endpoint.boot);
+}
+
+// An engine that registers in a drained domain is drained from the start, and
+// one whose entry lapses and returns still is.
+Test(direct_drains, endpoints_that_come_later_are_drained_too)
+{
+    fixture fix;
+    fix.decides.set_drained({hall, yard});
+    std::map<std::string, endpoint_record> all;
+    all["three"] = fixture::record("three", hall);
+    fix.decides.set_endpoints(start, all);
+    const auto refused = std::get<refusal_decision>(fix.decide());
+    cr_expect(refused.reason == refusal::drained);
+    cr_expect_geq(refused.retry_after.count(), 1000);
+}
+
+Test(direct_drains, with_all_domains_drained_callers_are_refused_at_once)
+{
+    fixture fix;
+    fix.decides.set_drained({hall, yard});
+    cr_expect(std::get<refusal_decision>(fix.decide()).reason ==
+              refusal::drained);
+    // Nobody leaves and nobody rests: the drain is the reason.
+    fix.decides.note_rest(start, fixture::record("one", hall),
+                          milliseconds(3000));
+    cr_expect(std::get<refusal_decision>(fix.decide()).reason ==
+              refusal::drained);
+    fix.decides.set_drained({hall});
+    cr_expect(std::holds_alternative<placement_decision>(fix.decide()));
+}
--- a/packages/wire/lib/exchange_codec.cpp
+++ b/packages/wire/lib/exchange_codec.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace sycamorelock::wire
 {
@@ -96,6 +97,15 @@
     return told;
 }
 
+/// A time as it travels. A longer one than fits says the same.
+std::uint32_t ms_of(core::duration time)
+{
+    using std::chrono::milliseconds;
+    constexpr std::int64_t most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        std::chrono::duration_cast<milliseconds>(time).count(), 0, most));
+}
+
 void encode_store(const direct::store_view& view, pb::StoreView& out)
 {
     out.set_revision(view.revision);
@@ -103,6 +113,14 @@
     out.set_up_ms(static_cast<std::uint32_t>(view.up.count()));
     out.set_digest(view.digest);
     out.set_complete(view.endpoints.has_value());
+    for (const direct::domain_drain& drain : view.drains)
+    {
+        pb::DomainDrain& item = *out.add_drains();
+        item.set_domain(drain.domain.value());
+        item.set_revision(drain.revision);
+        item.set_active(drain.active);
+        item.set_ended_ms(ms_of(drain.ended_for));
+    }
     if (!view.endpoints)
         return;
     for (const direct::endpoint_record& record : *view.endpoints)
@@ -126,6 +144,10 @@
     view.age = std::chrono::milliseconds(item.age_ms());
     view.up = std::chrono::milliseconds(item.up_ms());
     view.digest = item.digest();
+    for (const pb::DomainDrain& drain : item.drains())
+        view.drains.push_back({core::domain_id(drain.domain()),
+                               drain.revision(), drain.active(),
+                               std::chrono::milliseconds(drain.ended_ms())});
     if (!item.complete())
         return view;
     std::vector<direct::endpoint_record>& all = view.endpoints.emplace();
@@ -144,7 +166,8 @@
                           message.notes_size() > max_items ||
                           message.demands_size() > max_items ||
                           message.figures_size() > max_items ||
-                          message.store().endpoints_size() > max_items;
+                          message.store().endpoints_size() > max_items ||
+                          message.store().drains_size() > max_items;
     if (too_many)
         throw decode_error("too many items in one report");
 }
--- a/packages/wire/unittests/exchange_codec_test.cpp
+++ b/packages/wire/unittests/exchange_codec_test.cpp
@@ -38,11 +38,14 @@
     direct::endpoint_record endpoint{
         "boot",       core::service_id::of("s"), "10.0.0.9:1", {}, 64, true, 12,
         1790000000123};
-    report.store = {13,
-                    std::chrono::milliseconds(40),
-                    std::chrono::milliseconds(60),
-                    99,
-                    {{endpoint}}};
+    report.store = {
+        13,
+        std::chrono::milliseconds(40),
+        std::chrono::milliseconds(60),
+        99,
+        {{endpoint}},
+        {{core::domain_id::of("a"), 14, true, core::duration(0)},
+         {core::domain_id::of("b"), 15, false, std::chrono::seconds(2)}}};
     report.wants_caches = true;
     return report;
 }
@@ -75,6 +78,7 @@
                        1e-6);
     cr_expect_float_eq(got.figures.at(0).figures.weight, 80, 1e-6);
     cr_expect_eq(got.store.revision, 13U);
+    cr_expect(got.store.drains == sent.store.drains);
     cr_expect_eq(got.store.age.count(), 40);
     cr_expect_eq(got.store.up.count(), 60);
     cr_expect_eq(got.store.digest, 99U);
--- a/test/standins/direct_fleet.cpp
+++ b/test/standins/direct_fleet.cpp
@@ -20,10 +20,11 @@
 constexpr std::chrono::seconds ready_limit{15};
 
 std::string entry(const std::string& address, const char* service,
-                  const char* state, std::uint64_t born = 1)
+                  const char* state, std::uint64_t born = 1,
+                  const char* domain = "a")
 {
     return std::string(R"({"service":")") + service + R"(","address":")" +
-           address + R"(","zone":"a","version":"v1","slots":)" +
+           address + R"(","zone":")" + domain + R"(","version":"v1","slots":)" +
            std::to_string(endpoint_slots) + R"(,"state":")" + state +
            R"(","warmup_left_ms":0,"seq":1,"born":)" + std::to_string(born) +
            '}';
@@ -253,7 +254,18 @@
 {
     const direct_engine& which = *engines_.at(index);
     store_->put("servers/" + which.boot(),
-                entry(route_of(which), "planner", state, born));
+                entry(route_of(which), "planner", state, born,
+                      plan_.two_domains && index % 2 == 1 ? "b" : "a"));
+}
+
+void direct_fleet::drain(const std::string& domain)
+{
+    store_->put("op/evacuate/" + domain, "now");
+}
+
+void direct_fleet::take_back(const std::string& domain)
+{
+    store_->remove("op/evacuate/" + domain);
 }
 
 void direct_fleet::list_foreign(const std::string& name,
--- a/test/standins/direct_fleet.hpp
+++ b/test/standins/direct_fleet.hpp
@@ -42,6 +42,8 @@
     bool unread_logs = false;
     /// Further lines of the settings files.
     std::string extra{};
+    /// Every second engine is in the failure domain "b" instead of "a".
+    bool two_domains = false;
     /// Instances reach endpoints and the store through the proxy.
     bool proxied = false;
 };
@@ -103,6 +105,9 @@
                      std::uint64_t born = 1);
     /// Writes an entry beside those of the endpoints.
     void list_foreign(const std::string& name, const std::string& value);
+    /// Operators drain a failure domain, or take it back.
+    void drain(const std::string& domain);
+    void take_back(const std::string& domain);
     void unlist_engine(std::size_t index);
     /// Publishes a configuration; accounts other than "north" by name.
     void publish(std::uint64_t version,
