Endpoints that warm up get their allowance, divided among a few instances

Cause: nothing read warmup_left_ms or a service's warm-up, so a cold engine got what a warm one gets: 16 or 17 requests in a second where 15 are allowed.

The allowance of an endpoint is divided by rendezvous hashing among the failure domains of the fleet and within a domain among all instances that are known, silent ones too, so in a cut nobody takes over a part that somebody may still use. A part that is gained may be used two seconds later, one that is lost is gone at once. Requests that wait for a connection hold their place, and the sliding second is asked again right before the first byte. An engine counts as cold from its entry, from what other instances told of a newer entry, from the end of its domain's drain, after its entry was missing and after it could not be reached; the longest time holds. One that turns cold in use gets a pause first.

--- a/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
@@ -96,9 +96,13 @@
     confirmed_store_view(core::time_point at) const;
     [[nodiscard]] std::vector<core::direct::endpoint_record> endpoints() const;
     void choose_reader(core::time_point at, bool is_aggregator);
+    /// Tells the traffic thread which instances may send requests.
+    void tell_members(core::time_point at);
     /// Logs changed drains and puts them in force.
     void drains_changed(const std::vector<core::direct::domain_drain>& changed,
                         const std::string& source);
+    /// As the settings name it, else its digest.
+    [[nodiscard]] std::string name_of(core::domain_id domain) const;
     void endpoints_changed();
     /// \param source "store", or the instance that told it.
     void note_endpoint(const core::direct::endpoint_record& record,
@@ -143,6 +147,7 @@
     core::direct::cache_copies copies_;
     core::direct::help_pace caches_pace_;
     core::time_point next_gossip_;
+    core::time_point next_members_;
     std::size_t live_ = 0;
     std::uint64_t unreadable_connections_ = 0;
     bool was_ready_ = false;
--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
@@ -42,7 +42,15 @@
     void
     set_endpoints(std::map<std::string, core::direct::endpoint_record> all);
     /// Failure domains whose endpoints get nothing new.
-    void set_drained(std::set<core::domain_id> domains);
+    /// \param ended those that were taken back.
+    void set_drained(std::set<core::domain_id> domains,
+                     std::vector<core::direct::domain_drain> ended);
+    /// Instances that may send requests, without this one.
+    void set_members(std::vector<core::direct::fleet_member> members);
+    /// Endpoints that warm up, as another instance knows.
+    void on_warming(std::vector<core::direct::warming_notice> notices);
+    /// Changes what endpoints may get while they warm up.
+    void set_warmup_bounds(core::direct::warmup_bounds bounds);
     /// Up to when the endpoints known here were right.
     void note_endpoints_current(core::time_point at);
     /// Whether requests wait long before they are read, or for ever.
--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -254,6 +254,7 @@
     http::async_write(channel_->socket, *sending_,
                       [message = sending_, done = sent_](
                           error_code error, std::size_t) { *done = !error; });
+    context_.router.written(now(), placed_);
 }
 
 asio::awaitable<std::optional<answer_meta>> attempt::read_header()
--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -22,6 +22,9 @@
 /// failure domains (0.28 GB in 44 s before), although reports come twice as
 /// often.
 constexpr core::duration gossip_period = milliseconds(400);
+/// Period in which a changed set of instances is put in force: well under the
+/// time that they are given to agree on it.
+constexpr core::duration members_period = milliseconds(500);
 /// Stands for all other instances in what the router is told.
 constexpr const char* rest_sender = "rest";
 
@@ -119,6 +122,7 @@
         live_ = live;
         traffic_.set_fleet_size(live + 1);
     }
+    tell_members(at);
     report.config_version = version_;
     report.store = own_store_view(at);
     report.wants_caches = copies_.wanted(at);
@@ -135,6 +139,14 @@
     exchange_in_tree(at, std::move(report));
 }
 
+void control_plane::tell_members(core::time_point at)
+{
+    if (at < next_members_)
+        return;
+    next_members_ = at + members_period;
+    traffic_.set_members(peers_.members(at));
+}
+
 void control_plane::tell(core::time_point at, exchange_report& report,
                          const std::vector<std::string>& to)
 {
@@ -271,6 +283,8 @@
     if (peers_.is_newest(report))
         note_uptime(uptime_.told(now(), report.store));
     use_store_view(report);
+    if (!report.warming.empty())
+        traffic_.on_warming(report.warming);
     // A copy for an instance that is behind holds nothing else.
     if (report.part == core::direct::report_part::copy)
         return learn_caches(std::move(report));
--- a/packages/adapters/lib/direct/control_plane_endpoints.cpp
+++ b/packages/adapters/lib/direct/control_plane_endpoints.cpp
@@ -26,6 +26,7 @@
                {{"endpoint", record.boot},
                 {"address", record.address},
                 {"started_ms", std::to_string(record.started_ms)},
+                {"warmup_left_ms", std::to_string(record.warmup_left.count())},
                 {"revision", std::to_string(record.revision)},
                 {"source", source}});
 }
@@ -71,13 +72,28 @@
 {
     if (changed.empty())
         return;
+    std::vector<core::direct::domain_drain> ended;
     for (const core::direct::domain_drain& each : changed)
+    {
         log_.write(each.active ? direct_event::domain_drained
                                : direct_event::domain_taken_back,
-                   {{"domain", std::to_string(each.domain.value())},
+                   {{"domain", name_of(each.domain)},
                     {"revision", std::to_string(each.revision)},
                     {"source", source}});
-    traffic_.set_drained(drains_.active());
+        if (!each.active)
+            ended.push_back(each);
+    }
+    traffic_.set_drained(drains_.active(), std::move(ended));
+}
+
+std::string control_plane::name_of(core::domain_id domain) const
+{
+    for (const std::string& name : settings_.domains)
+    {
+        if (core::domain_id::of(name) == domain)
+            return name;
+    }
+    return std::to_string(domain.value());
 }
 
 void control_plane::on_list(const endpoint_page& all)
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -107,6 +107,9 @@
         single(out, "requests_open_elsewhere", "gauge",
                "Requests that other instances have open, as they last told.",
                std::uint64_t{router_.ledger().open_elsewhere()});
+        single(out, "endpoints_warming", "gauge",
+               "Endpoints that warm up and get a limited part of requests.",
+               std::uint64_t{router_.warming(now())});
         single(out, "endpoint_news_age_seconds", "gauge",
                "Age of what is known of endpoints.",
                std::chrono::duration<double>(news_.at(now())).count());
@@ -137,6 +140,10 @@
         options.seed = seed;
         options.retry_ratio = settings.retry_ratio;
         options.retry_slack = settings.retry_slack;
+        options.self = core::instance_id::of(settings.peer_address);
+        for (const std::string& name : settings.domains)
+            options.domains.insert(core::domain_id::of(name));
+        options.warmup = {settings.warmup_overrun, settings.warmup_slack};
         options.mechanisms = settings.mechanisms;
         return options;
     }
@@ -334,10 +341,31 @@
                { impl->router().set_endpoints(now(), all); });
 }
 
-void traffic_plane::set_drained(std::set<core::domain_id> domains)
+void traffic_plane::set_drained(std::set<core::domain_id> domains,
+                                std::vector<core::direct::domain_drain> ended)
 {
-    asio::post(impl_->io(), [impl = impl_, domains = std::move(domains)]
-               { impl->router().set_drained(domains); });
+    asio::post(impl_->io(), [impl = impl_, domains = std::move(domains),
+                             ended = std::move(ended)]
+               { impl->router().set_drained(now(), domains, ended); });
+}
+
+void traffic_plane::set_members(std::vector<core::direct::fleet_member> members)
+{
+    asio::post(impl_->io(), [impl = impl_, members = std::move(members)]
+               { impl->router().set_members(now(), members); });
+}
+
+void traffic_plane::on_warming(
+    std::vector<core::direct::warming_notice> notices)
+{
+    asio::post(impl_->io(), [impl = impl_, notices = std::move(notices)]
+               { impl->router().on_warming(now(), notices); });
+}
+
+void traffic_plane::set_warmup_bounds(core::direct::warmup_bounds bounds)
+{
+    asio::post(impl_->io(), [impl = impl_, bounds]
+               { impl->router().set_warmup_bounds(bounds); });
 }
 
 void traffic_plane::on_report(core::direct::exchange_report report)
--- a/packages/core/include/sycamorelock/core/direct/catalogue.hpp
+++ b/packages/core/include/sycamorelock/core/direct/catalogue.hpp
@@ -77,6 +77,11 @@
     double token_bytes = 0;
     double link_bytes_per_ms = 0;
 
+    /// Time for which an endpoint warms up, and requests a second that it bears
+    /// meanwhile; a time of zero: endpoints of this service need none.
+    milliseconds warmup{0};
+    double warmup_per_second = 0;
+
     [[nodiscard]] bool is_engine() const { return memory_tokens > 0; }
     [[nodiscard]] bool can_fetch() const
     {
--- a/packages/core/include/sycamorelock/core/direct/endpoint_registry.hpp
+++ b/packages/core/include/sycamorelock/core/direct/endpoint_registry.hpp
@@ -28,6 +28,9 @@
     std::uint64_t revision = 0;
     /// Unix time of the start in ms; 0 if the endpoint does not tell.
     std::uint64_t started_ms = 0;
+    /// How much longer it warmed up when it wrote the entry; zero if it is
+    /// warm.
+    std::chrono::milliseconds warmup_left{0};
 
     /// Tells two starts apart: a new one keeps and runs nothing of before, so
     /// nothing that is believed of the old one may hold for it.
--- a/packages/core/include/sycamorelock/core/direct/exchange.hpp
+++ b/packages/core/include/sycamorelock/core/direct/exchange.hpp
@@ -63,6 +63,15 @@
     copy = 5,
 };
 
+/// An endpoint that warms up, as its entry of a generation of the store said.
+struct warming_notice
+{
+    endpoint_id endpoint;
+    std::uint64_t revision = 0;
+    /// From the sending of the report.
+    milliseconds left{0};
+};
+
 /// The operators' configuration as the platform published it.
 struct config_copy
 {
@@ -108,6 +117,7 @@
     std::vector<cache_note> notes;
     std::vector<account_demand> demands;
     std::vector<service_figures> figures;
+    std::vector<warming_notice> warming;
     store_view store;
     /// The sender has started and does not know what engines keep.
     bool wants_caches = false;
--- a/packages/core/include/sycamorelock/core/direct/peers.hpp
+++ b/packages/core/include/sycamorelock/core/direct/peers.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "sycamorelock/core/direct/exchange.hpp"
+#include "sycamorelock/core/direct/slow_start.hpp"
 
 #include <map>
 #include <random>
@@ -51,6 +52,11 @@
     /// Numbers a report. A receiver takes only higher numbers than before.
     void number(exchange_report& report) { report.number = ++number_; }
 
+    /// Instances that may send requests: all that were heard of and are not
+    /// forgotten, also silent ones, as a cut looks like their end. Those that
+    /// left are not among them.
+    [[nodiscard]] std::vector<fleet_member> members(time_point now) const;
+
     /// Whether the fleet is too large for everyone to tell everyone.
     [[nodiscard]] bool large(time_point now) const
     {
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -16,6 +16,7 @@
 #include "sycamorelock/core/direct/prompt_fetch.hpp"
 #include "sycamorelock/core/direct/prompt_homes.hpp"
 #include "sycamorelock/core/direct/rate_meter.hpp"
+#include "sycamorelock/core/direct/slow_start.hpp"
 #include "sycamorelock/core/retry_budget.hpp"
 
 #include <memory>
@@ -58,6 +59,9 @@
     drained,
     /// All endpoints that do not leave have asked for rest.
     resting,
+    /// All usable endpoints warm up and have got what they may get of this
+    /// instance.
+    warming_up,
     /// The first token would come too late.
     overloaded,
     /// The account asks for more than its share of a busy pool.
@@ -81,6 +85,9 @@
     load_ledger::hold hold;
     /// When it began to hold a slot: before its connection stands.
     time_point sent;
+    /// It counts among those that were chosen for an endpoint that warms up
+    /// and are not sent yet.
+    bool reserved = false;
 };
 
 struct refusal_decision
@@ -117,12 +124,27 @@
     resting,
     /// Operators drain the endpoint's failure domain.
     drained,
+    /// The endpoint warms up and has got what it may get of this instance.
+    warming_up,
 };
 std::string_view to_string(withheld_reason reason);
 
+/// What operators let an endpoint get in any second while it warms up.
+struct warmup_bounds
+{
+    /// As a multiple of what its service states.
+    double overrun = 1;
+    /// A number more.
+    double slack = 0;
+};
+
 struct router_options
 {
+    instance_id self;
     domain_id domain;
+    /// Failure domains of the fleet, as far as settings name them.
+    std::set<domain_id> domains;
+    warmup_bounds warmup;
     std::uint64_t seed = 1;
     /// Share of requests that may be sent a second time, over the fleet.
     double retry_ratio = 0.2;
@@ -145,7 +167,19 @@
                        const std::map<std::string, endpoint_record>& all);
     /// Failure domains that operators drain: nothing new goes to their
     /// endpoints, whatever way it would take.
-    void set_drained(const std::set<domain_id>& domains);
+    /// \param ended those that were taken back: their endpoints may be cold.
+    void set_drained(time_point now, const std::set<domain_id>& domains,
+                     std::span<const domain_drain> ended);
+    /// Instances that may send requests, without this one.
+    void set_members(time_point now, std::vector<fleet_member> members)
+    {
+        parts_.set_members(now, std::move(members));
+    }
+    /// Endpoints that warm up, as another instance knows.
+    void on_warming(time_point now, std::span<const warming_notice> notices);
+    void set_warmup_bounds(warmup_bounds bounds) { options_.warmup = bounds; }
+    /// Endpoints that warm up.
+    [[nodiscard]] std::size_t warming(time_point now) const;
     [[nodiscard]] bool knows(endpoint_id endpoint) const
     {
         return endpoints_.contains(endpoint);
@@ -188,6 +222,8 @@
 
     void sent(time_point now, const request_profile& asked,
               placement_decision& at);
+    /// The first bytes of the request were just written.
+    void written(time_point now, placement_decision& at);
     void first_token(time_point now, const request_profile& asked,
                      placement_decision& at, time_point sent);
     void finished(time_point now, placement_decision& at,
@@ -231,6 +267,12 @@
         time_point rests_until;
         /// Operators drain its failure domain.
         bool is_drained = false;
+        /// It warms up until then, as far as this instance limits itself.
+        time_point limited_until;
+        /// Entry that told of the warm-up last.
+        std::uint64_t warming_revision = 0;
+        /// Requests chosen for it while it warms up that are not sent yet.
+        unsigned chosen = 0;
 
         /// Takes over what the endpoint has said of itself.
         void apply(const endpoint_notices& notices)
@@ -246,6 +288,11 @@
         {
             return now < rests_until;
         }
+        [[nodiscard]] bool is_limited(time_point now) const
+        {
+            return now < limited_until;
+        }
+        /// Apart from the limit of a warm-up.
         [[nodiscard]] bool is_usable(time_point now) const
         {
             return !is_leaving() && !is_drained && !is_resting(now) &&
@@ -331,6 +378,27 @@
     [[nodiscard]] placement_decision place(const weighing& of,
                                            candidate best) const;
     void renew_guesses();
+    /// Takes what an endpoint's new entry says of its warm-up.
+    void note_warmup(time_point now, endpoint_state& at, bool was_known);
+    /// An endpoint warms up for some more time.
+    /// \param in_use others may be sending to it without a limit.
+    void limit(time_point now, endpoint_state& at, duration left, bool in_use);
+    /// Puts in force what is known of its warm-up.
+    void renew_limit(endpoint_state& at) const;
+    /// Time for which an endpoint of a service warms up; zero if it needs none.
+    [[nodiscard]] duration warmup_of(service_id service) const;
+    /// Whether one more request may go to an endpoint that warms up.
+    /// \param chosen those that were chosen for it before and are not sent.
+    [[nodiscard]] bool admits(time_point now, const endpoint_state& at,
+                              unsigned chosen) const;
+    /// Requests that this instance may send it in any second.
+    [[nodiscard]] unsigned own_part(time_point now,
+                                    const endpoint_state& at) const;
+    /// Time until an endpoint of a service may get a request, if all that are
+    /// usable warm up.
+    [[nodiscard]] std::optional<duration>
+    warming_pause(time_point now, service_id service) const;
+    static void unreserve(endpoint_state& at, placement_decision& placed);
     /// Whether operators drain the domains of all endpoints of a service that
     /// do not leave; false if there are none.
     [[nodiscard]] bool all_drained(service_id service) const;
@@ -350,6 +418,8 @@
                                       const service& kind) const;
     /// Asks to come back after about a pause, each caller after another one.
     refusal_decision refuse(refusal reason, double pause_ms, double wait_ms);
+    /// Asks to come back no sooner than a time, each caller after another one.
+    refusal_decision refuse_until(refusal reason, duration time);
     refusal_decision refuse_for_load(const request_profile& asked,
                                      double wait_ms, double allowed_ms);
     refusal_decision refuse_without_endpoint(time_point now,
@@ -373,6 +443,8 @@
     /// Into `endpoints_`, whose elements stay where they are.
     std::map<service_id, std::vector<const endpoint_state*>> by_service_;
     std::set<domain_id> drained_;
+    slow_start slow_start_;
+    allowance_parts parts_;
     endpoint_notices notices_;
     load_ledger ledger_;
     prefix_cache cache_;
--- a/packages/core/lib/direct/endpoint_registry.cpp
+++ b/packages/core/lib/direct/endpoint_registry.cpp
@@ -30,7 +30,9 @@
         known.service == record.service && known.address == record.address &&
         known.domain == record.domain && known.slots == record.slots &&
         known.draining == record.draining &&
-        known.started_ms == record.started_ms;
+        known.started_ms == record.started_ms &&
+        // What is left of a warm-up only shrinks, unless another one begins.
+        record.warmup_left <= known.warmup_left;
     if (older)
         return false;
     known = std::move(record);
--- a/packages/core/lib/direct/peers.cpp
+++ b/packages/core/lib/direct/peers.cpp
@@ -219,6 +219,20 @@
     return count;
 }
 
+std::vector<fleet_member> peers::members(time_point now) const
+{
+    std::vector<fleet_member> result;
+    result.reserve(peers_.size());
+    for (const auto& [address, known] : peers_)
+    {
+        const bool was_heard = known.heard_at != time_point();
+        const bool has_left = known.leaving && !is_live(now, known);
+        if (was_heard && !has_left)
+            result.push_back({instance_id::of(address), known.domain});
+    }
+    return result;
+}
+
 std::vector<instance_id> peers::newly_silent(time_point now)
 {
     std::vector<instance_id> result;
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -55,6 +55,8 @@
         return "drained";
     case refusal::resting:
         return "resting";
+    case refusal::warming_up:
+        return "warming_up";
     case refusal::overloaded:
         return "overloaded";
     case refusal::beyond_share:
@@ -77,12 +79,15 @@
         return "resting";
     case withheld_reason::drained:
         return "drained";
+    case withheld_reason::warming_up:
+        return "warming_up";
     }
     return "unknown";
 }
 
 router::router(router_options options)
-    : options_(options), random_(options.seed)
+    : options_(options), random_(options.seed),
+      parts_(options.self, options.domain, options.domains)
 {
 }
 
@@ -90,6 +95,8 @@
 {
     config_ = std::move(newer);
     renew_guesses();
+    for (auto& [id, state] : endpoints_)
+        renew_limit(state);
 }
 
 hold_time router::held_at(const service& kind) const
@@ -127,13 +134,16 @@
         return withheld_reason::drained;
     if (found->second.is_resting(now))
         return withheld_reason::resting;
+    if (found->second.is_limited(now) && !admits(now, found->second, 0))
+        return withheld_reason::warming_up;
     return std::nullopt;
 }
 
 bool router::may_fetch(time_point now, const fetch_plan& plan) const
 {
     const auto found = endpoints_.find(plan.source);
-    return found != endpoints_.end() && found->second.is_usable(now);
+    return found != endpoints_.end() && found->second.is_usable(now) &&
+           !found->second.is_limited(now);
 }
 
 bool router::note_leaving(time_point now, const endpoint_record& from)
@@ -198,13 +208,16 @@
         state.id = id;
         state.is_drained = drained_.contains(record.domain);
         state.apply(notices_);
+        note_warmup(now, state, known != endpoints_.end());
     }
+    slow_start_.forget_unlisted(now);
     for (const auto& [id, state] : endpoints_)
     {
         if (!next.contains(id))
         {
             cache_.forget(id);
             links_.forget(id);
+            slow_start_.note_unlisted(now, id);
         }
     }
     endpoints_ = std::move(next);
@@ -213,11 +226,21 @@
     renew_guesses();
 }
 
-void router::set_drained(const std::set<domain_id>& domains)
+void router::set_drained(time_point now, const std::set<domain_id>& domains,
+                         std::span<const domain_drain> ended)
 {
     drained_ = domains;
     for (auto& [id, state] : endpoints_)
         state.is_drained = drained_.contains(state.record.domain);
+    for (const domain_drain& each : ended)
+    {
+        for (auto& [id, state] : endpoints_)
+        {
+            if (state.record.domain == each.domain)
+                limit(now, state,
+                      warmup_of(state.record.service) - each.ended_for, false);
+        }
+    }
 }
 
 bool router::all_drained(service_id service) const
@@ -297,6 +320,12 @@
         at.hold.reads_from = now + reading_begins_after(at);
     at.hold.slowness = at.slowness;
     ledger_.open(at.hold);
+    if (const auto found = endpoints_.find(at.hold.endpoint);
+        found != endpoints_.end() && found->second.is_limited(now))
+    {
+        at.reserved = true;
+        ++found->second.chosen;
+    }
     urgent_ = urgent_ || (at.hold.unread_ms > urgent_ms &&
                           uses(mechanism::urgent_reports));
     if (asked.account && !asked.parts.empty())
@@ -322,7 +351,9 @@
     if (found != endpoints_.end())
         found->second.health.first_token(now, took_ms, at.predicted_ms);
     const auto learns = estimators_.find(at.endpoint.service);
-    if (learns == estimators_.end() || at.fetch ||
+    const bool is_cold =
+        found != endpoints_.end() && found->second.is_limited(now);
+    if (learns == estimators_.end() || at.fetch || is_cold ||
         !uses(mechanism::learned_figures))
         return;
     reading seen;
@@ -350,6 +381,7 @@
     const auto found = endpoints_.find(at.hold.endpoint);
     if (found == endpoints_.end())
         return;
+    unreserve(found->second, at);
     endpoint_health& health = found->second.health;
     switch (outcome)
     {
@@ -363,6 +395,9 @@
         break;
     case attempt_outcome::unreachable:
         health.unreachable(now);
+        // It may be back before it says that it is cold.
+        limit(now, found->second, warmup_of(found->second.record.service),
+              false);
         break;
     case attempt_outcome::abandoned:
         break;
@@ -465,6 +500,15 @@
     report.notes = std::move(notes_);
     notes_.clear();
     report.demands = shares_.own(now);
+    report.warming.clear();
+    for (const auto& [id, state] : endpoints_)
+    {
+        const duration left = slow_start_.left(now, id);
+        if (state.warming_revision > 0 && left > duration(0))
+            report.warming.push_back(
+                {id, state.warming_revision,
+                 std::chrono::duration_cast<milliseconds>(left)});
+    }
 }
 
 } // namespace sycamorelock::core::direct
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -83,8 +83,10 @@
     result.reserve(listed->second.size());
     for (const endpoint_state* state : listed->second)
     {
-        if (state->is_usable(now) &&
-            (tried.empty() || !tried.contains(state->id)))
+        const bool is_open =
+            state->is_usable(now) &&
+            (!state->is_limited(now) || admits(now, *state, state->chosen));
+        if (is_open && (tried.empty() || !tried.contains(state->id)))
             result.push_back(state);
     }
     if (!large_fleet_ || !kind.is_engine() || asked.parts.size() < 2 ||
@@ -108,7 +110,7 @@
     double best_busy = 0;
     for (const endpoint_state* state : listed->second)
     {
-        if (!state->is_usable(now))
+        if (!state->is_usable(now) || state->is_limited(now))
             continue;
         const double tokens = cache_.ready(now, state->id, asked.parts);
         const double busy = links_.busy_ms(now, state->id);
@@ -307,6 +309,14 @@
     return {reason, milliseconds(static_cast<int>(pause)), wait_ms};
 }
 
+refusal_decision router::refuse_until(refusal reason, duration time)
+{
+    static constexpr double least_ms = 100;
+    std::uniform_real_distribution<double> spread(1, 1.25);
+    const double pause = std::max(least_ms, to_ms(time)) * spread(random_);
+    return {reason, milliseconds(static_cast<int>(pause)), 0};
+}
+
 refusal_decision router::refuse_for_load(const request_profile& asked,
                                          double wait_ms, double allowed_ms)
 {
@@ -327,6 +337,8 @@
     const std::optional<milliseconds> pause = rest_pause(now, service);
     if (pause)
         return {refusal::resting, *pause, 0};
+    if (const auto free = warming_pause(now, service))
+        return refuse_until(refusal::warming_up, *free);
     if (all_drained(service))
         return refuse(refusal::drained, to_ms(drained_pause), 0);
     return {refusal::no_endpoint, soon, 0};
--- a/packages/core/unittests/direct_drains_test.cpp
+++ b/packages/core/unittests/direct_drains_test.cpp
@@ -107,7 +107,7 @@
     fixture fix(100);
     const auto first = std::get<placement_decision>(fix.decide());
     const std::string other = first.endpoint.boot == "one" ? "two" : "one";
-    fix.decides.set_drained({first.endpoint.domain});
+    fix.decides.set_drained(start, {first.endpoint.domain}, {});
     cr_expect(std::get<placement_decision>(fix.decide()).endpoint.boot ==
               other);
     cr_expect(fix.decides.withheld(start, first) == withheld_reason::drained);
@@ -116,7 +116,7 @@
     const endpoint_id second =
         fixture::record(other, first.endpoint.domain).id();
     cr_expect(std::holds_alternative<refusal_decision>(fix.decide({second})));
-    fix.decides.set_drained({});
+    fix.decides.set_drained(start, {}, {});
     cr_expect_not(fix.decides.withheld(start, first).has_value());
     cr_expect(std::get<placement_decision>(fix.decide()).endpoint.boot ==
               first.endpoint.boot);
@@ -127,7 +127,7 @@
 Test(direct_drains, endpoints_that_come_later_are_drained_too)
 {
     fixture fix;
-    fix.decides.set_drained({hall, yard});
+    fix.decides.set_drained(start, {hall, yard}, {});
     std::map<std::string, endpoint_record> all;
     all["three"] = fixture::record("three", hall);
     fix.decides.set_endpoints(start, all);
@@ -139,7 +139,7 @@
 Test(direct_drains, with_all_domains_drained_callers_are_refused_at_once)
 {
     fixture fix;
-    fix.decides.set_drained({hall, yard});
+    fix.decides.set_drained(start, {hall, yard}, {});
     cr_expect(std::get<refusal_decision>(fix.decide()).reason ==
               refusal::drained);
     // Nobody leaves and nobody rests: the drain is the reason.
@@ -147,6 +147,6 @@
                           milliseconds(3000));
     cr_expect(std::get<refusal_decision>(fix.decide()).reason ==
               refusal::drained);
-    fix.decides.set_drained({hall});
+    fix.decides.set_drained(start, {hall}, {});
     cr_expect(std::holds_alternative<placement_decision>(fix.decide()));
 }
--- a/packages/daemon/lib/direct_daemon.cpp
+++ b/packages/daemon/lib/direct_daemon.cpp
@@ -206,6 +206,7 @@
         settings_.shutdown = next.shutdown;
         control_.set_seeds(next.seeds);
         traffic_.set_retries(next.retry_ratio, next.retry_slack);
+        traffic_.set_warmup_bounds({next.warmup_overrun, next.warmup_slack});
         log_.write(adapters::direct_event::settings_reloaded,
                    {{"seeds", std::to_string(next.seeds.size())},
                     {"restart_needed", moved ? "yes" : "no"}});
--- a/packages/settings/include/sycamorelock/settings/direct_settings.hpp
+++ b/packages/settings/include/sycamorelock/settings/direct_settings.hpp
@@ -26,6 +26,12 @@
     std::string store;
     /// Peer addresses of a few instances, possibly stale or this one's own.
     std::vector<std::string> seeds;
+    /// Failure domains of the fleet, as far as they are known.
+    std::vector<std::string> domains;
+    /// Requests that an endpoint may get in any second while it warms up: a
+    /// multiple of its service's rate, and a number more.
+    double warmup_overrun = 1;
+    double warmup_slack = 0;
     /// Repeats allowed over the fleet: a share of the requests, and a number
     /// more than that in the window in which repeats are counted.
     double retry_ratio = 0;
--- a/packages/settings/lib/direct_settings.cpp
+++ b/packages/settings/lib/direct_settings.cpp
@@ -56,6 +56,9 @@
     result.fleet_key = text_of(held, "fleet_key");
     result.store = text_of(held, "store");
     result.seeds = list_of(held, "seeds");
+    result.domains = list_of(held, "domains");
+    result.warmup_overrun = number_of(held, "warmup_overrun");
+    result.warmup_slack = number_of(held, "warmup_slack");
     result.retry_ratio = number_of(held, "retry_ratio");
     result.retry_slack = number_of(held, "retry_slack");
     result.max_descriptors =
--- a/packages/settings/lib/schema.cpp
+++ b/packages/settings/lib/schema.cpp
@@ -89,6 +89,15 @@
           "IP:port of the configuration store."},
     field{"seeds", text_list, false, 0, 64, "", "",
           "Peer addresses (IP:port) of a few instances; may be stale."},
+    field{"domains", text_list, false, 0, 64, "", "",
+          "Failure domains of the fleet. The allowance of an endpoint that "
+          "warms up is divided among them, also while some are cut off; those "
+          "of instances that are heard are added."},
+    field{"warmup_overrun", number, false, 0, 1000, "1", "",
+          "Requests a second that an endpoint may get while it warms up, as a "
+          "multiple of what its service states."},
+    field{"warmup_slack", number, false, 0, 1000000, "0", "",
+          "Requests more than that in any second."},
     field{"retry_ratio", number, false, 0, 1, "0.2", "",
           "Share of the requests that the fleet may send a second time."},
     field{"retry_slack", number, false, 0, 1000000, "50", "",
--- a/packages/wire/lib/exchange_codec.cpp
+++ b/packages/wire/lib/exchange_codec.cpp
@@ -134,6 +134,7 @@
         item.set_draining(record.draining);
         item.set_revision(record.revision);
         item.set_started_ms(record.started_ms);
+        item.set_warmup_left_ms(ms_of(record.warmup_left));
     }
 }
 
@@ -155,7 +156,8 @@
         all.push_back({entry.boot(), core::service_id(entry.service()),
                        entry.address(), core::domain_id(entry.domain()),
                        entry.slots(), entry.draining(), entry.revision(),
-                       entry.started_ms()});
+                       entry.started_ms(),
+                       std::chrono::milliseconds(entry.warmup_left_ms())});
     return view;
 }
 
@@ -166,6 +168,7 @@
                           message.notes_size() > max_items ||
                           message.demands_size() > max_items ||
                           message.figures_size() > max_items ||
+                          message.warming_size() > max_items ||
                           message.store().endpoints_size() > max_items ||
                           message.store().drains_size() > max_items;
     if (too_many)
@@ -217,6 +220,13 @@
         item.set_served(static_cast<float>(demand.served));
     }
     encode_figures(report, out);
+    for (const direct::warming_notice& each : report.warming)
+    {
+        pb::WarmingEndpoint& item = *out.add_warming();
+        item.set_endpoint(each.endpoint.value());
+        item.set_revision(each.revision);
+        item.set_left_ms(ms_of(each.left));
+    }
     encode_store(report.store, *out.mutable_store());
     std::string bytes = out.SerializeAsString();
     const message_tag tag = make_tag(bytes, key);
@@ -264,6 +274,10 @@
                                   checked(item.served())});
     for (const pb::ServiceFigures& item : message.figures())
         report.figures.push_back(decode_figures(item));
+    for (const pb::WarmingEndpoint& item : message.warming())
+        report.warming.push_back({core::endpoint_id(item.endpoint()),
+                                  item.revision(),
+                                  std::chrono::milliseconds(item.left_ms())});
     report.store = decode_store(message.store());
     return report;
 }
--- a/packages/wire/unittests/exchange_codec_test.cpp
+++ b/packages/wire/unittests/exchange_codec_test.cpp
@@ -35,9 +35,15 @@
                      std::chrono::milliseconds(150)}};
     report.demands = {{core::account_id::of("n"), 100, 50}};
     report.figures = {{core::service_id::of("s"), {36, 0.0147, 0.24, 80}}};
-    direct::endpoint_record endpoint{
-        "boot",       core::service_id::of("s"), "10.0.0.9:1", {}, 64, true, 12,
-        1790000000123};
+    direct::endpoint_record endpoint{"boot",
+                                     core::service_id::of("s"),
+                                     "10.0.0.9:1",
+                                     {},
+                                     64,
+                                     true,
+                                     12,
+                                     1790000000123,
+                                     std::chrono::milliseconds(2500)};
     report.store = {
         13,
         std::chrono::milliseconds(40),
@@ -46,6 +52,8 @@
         {{endpoint}},
         {{core::domain_id::of("a"), 14, true, core::duration(0)},
          {core::domain_id::of("b"), 15, false, std::chrono::seconds(2)}}};
+    report.warming = {
+        {core::endpoint_id::of("e"), 16, std::chrono::milliseconds(1800)}};
     report.wants_caches = true;
     return report;
 }
@@ -79,6 +87,11 @@
     cr_expect_float_eq(got.figures.at(0).figures.weight, 80, 1e-6);
     cr_expect_eq(got.store.revision, 13U);
     cr_expect(got.store.drains == sent.store.drains);
+    cr_assert_eq(got.warming.size(), 1U);
+    cr_expect(got.warming[0].endpoint == core::endpoint_id::of("e"));
+    cr_expect_eq(got.warming[0].revision, 16U);
+    cr_expect_eq(got.warming[0].left.count(), 1800);
+    cr_expect_eq(got.store.endpoints->at(0).warmup_left.count(), 2500);
     cr_expect_eq(got.store.age.count(), 40);
     cr_expect_eq(got.store.up.count(), 60);
     cr_expect_eq(got.store.digest, 99U);
