One prompt whose length is a guess is no reason to refuse at an engine

Cause: before first tokens are observed engines are taken to read ten tokens a ms; the first prompt of a fleet, already read, counted as 300 ms of wait in late news, so the second request was refused with 5 s left (wait 286 to 304, allowed 240 in each log).

--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -375,6 +375,10 @@
     [[nodiscard]] prompt_source find_source(time_point now,
                                             const request_profile& asked,
                                             const service& kind) const;
+    /// Whether the wait at an engine is that for one prompt, and what it takes
+    /// is a guess.
+    [[nodiscard]] bool waits_for_a_guess(const weighing& of,
+                                         const candidate& at) const;
     [[nodiscard]] placement_decision place(const weighing& of,
                                            candidate best) const;
     void renew_guesses();
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -380,12 +380,22 @@
     // again: under load that takes more from others than a refusal does.
     admission& admitted = admissions_[kind->id];
     admitted.weighed.add(now, 1);
-    if (best->wait_ms > allowed)
+    const bool is_unknown = waits_for_a_guess(of, *best) &&
+                            best->wait_ms < to_ms(asked.deadline - now);
+    if (best->wait_ms > allowed && !is_unknown)
         return refuse_for_load(asked, best->wait_ms, allowed);
     admitted.sent.add(now, 1);
     return place(of, std::move(*best));
 }
 
+bool router::waits_for_a_guess(const weighing& of, const candidate& at) const
+{
+    // As many readings as the guess counts for outweigh it.
+    static constexpr double known_weight = 2 * engine_estimator::guess_weight;
+    return of.kind.is_engine() && of.figures.weight < known_weight &&
+           at.free_slots >= 1 && ledger_.total(at.state->id).waiting <= 1;
+}
+
 placement_decision router::place(const weighing& of, candidate best) const
 {
     placement_decision made;
--- a/packages/core/unittests/direct_router_test.cpp
+++ b/packages/core/unittests/direct_router_test.cpp
@@ -135,3 +135,61 @@
     const auto after = std::get<placement_decision>(fix.decide(late, later));
     cr_expect(after.endpoint.boot == first.endpoint.boot);
 }
+
+namespace
+{
+
+/// Engines that read ten tokens a ms, of which another instance has sent one
+/// prompt of 3,000 tokens to each.
+struct prompt_elsewhere : two_engines
+{
+    prompt_elsewhere() : two_engines(20000, 0)
+    {
+        exchange_report report;
+        report.sender = "other";
+        for (const char* name : {"one", "two"})
+            report.work.push_back({endpoint_id::of(name), 600, 1, 0, 3000});
+        decides.on_report(start, report);
+    }
+
+    /// Notes first tokens that came as predicted.
+    void learn()
+    {
+        exchange_report report;
+        report.sender = "third";
+        report.figures = {{drafts, {30, 0.1, 0.5, 100}}};
+        decides.on_report(start, report);
+        exchange_report own;
+        decides.fill_report(start, own);
+    }
+    bool places(time_point now)
+    {
+        request_profile asked = ask_for({{1, 1000}, {2, 100}}, now);
+        return is_placed(decides.decide(now, asked, drafts, {}, false));
+    }
+};
+
+} // namespace
+
+// Guards against the refusal of the second request of a fleet without other
+// work: what the first one takes is only guessed, and nobody else waits.
+Test(direct_router, one_prompt_of_unknown_length_is_no_reason_to_refuse)
+{
+    prompt_elsewhere fix;
+    cr_expect(fix.places(start));
+    // Nor is time left for more than it.
+    request_profile asked = fix.ask_for({{1, 1000}, {2, 100}});
+    asked.deadline = start + milliseconds(400);
+    cr_expect_not(
+        is_placed(fix.decides.decide(start, asked, drafts, {}, false)));
+    // A queue is a reason, and so is one prompt whose time is known.
+    exchange_report queue;
+    queue.sender = "other";
+    for (const char* name : {"one", "two"})
+        queue.work.push_back({endpoint_id::of(name), 600, 5, 0, 3000});
+    fix.decides.on_report(start, queue);
+    cr_expect_not(fix.places(start));
+    prompt_elsewhere learned;
+    learned.learn();
+    cr_expect_not(learned.places(start));
+}
