A rest longer than a minute is kept, with one trial in 15 s

Cause: rests were cut to 60 s and then forgotten: 30 requests of 30 came in the last 30 s of a rest of 90 s. The time that was asked is kept; a trial that is served ends the rest, so an absurd wish takes no endpoint away for good.

--- a/packages/core/include/sycamorelock/core/direct/endpoint_notices.hpp
+++ b/packages/core/include/sycamorelock/core/direct/endpoint_notices.hpp
@@ -26,9 +26,12 @@
 
     [[nodiscard]] bool is_leaving(const endpoint_record& which) const;
 
-    /// Longest rest that is granted: an absurd wish must not take an endpoint
-    /// away for good.
+    /// Longest rest that is granted without a question: an absurd wish must
+    /// not take an endpoint away for good.
     static constexpr milliseconds longest_rest{60'000};
+    /// In the rest of a longer one, the endpoint gets one request in this
+    /// time, to see whether it still means it.
+    static constexpr milliseconds trial_period{15'000};
 
     /// An endpoint turned a request away and wants none for a time. A shorter
     /// wish does not end an earlier one.
@@ -38,6 +41,13 @@
     /// When the endpoint's rest ends; in the past if there is none.
     [[nodiscard]] time_point rests_until(const endpoint_record& which) const;
 
+    /// A request was chosen for an endpoint. Within a rest longer than the
+    /// longest it is a trial, and the endpoint rests on. Returns whether it is.
+    bool note_trial(time_point now, const endpoint_record& which);
+
+    /// The endpoint served a request: it rests no more.
+    void end_rest(const endpoint_record& which);
+
     /// Forgets endpoints that have not been listed for long.
     void keep_listed(time_point now,
                      const std::map<std::string, endpoint_record>& listed);
@@ -48,6 +58,8 @@
         std::string address;
         bool leaving = false;
         time_point rests_until;
+        /// When the rest that it asked for ends.
+        time_point asked_until;
         time_point listed_at;
     };
 
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -88,6 +88,8 @@
     /// It counts among those that were chosen for an endpoint that warms up
     /// and are not sent yet.
     bool reserved = false;
+    /// It tries an endpoint in the rest of a long rest.
+    bool is_trial = false;
 };
 
 struct refusal_decision
--- a/packages/core/lib/direct/endpoint_notices.cpp
+++ b/packages/core/lib/direct/endpoint_notices.cpp
@@ -11,7 +11,7 @@
 {
     notice& known = notices_[which.id()];
     if (known.address != which.address)
-        known = {which.address, false, time_point(), now};
+        known = {which.address, false, time_point(), time_point(), now};
     return known;
 }
 
@@ -46,6 +46,31 @@
     notice& known = of(now, from);
     known.rests_until =
         std::max(known.rests_until, now + std::min(asked, longest_rest));
+    known.asked_until = std::max(known.asked_until, now + asked);
+}
+
+bool endpoint_notices::note_trial(time_point now, const endpoint_record& which)
+{
+    if (notices_.empty())
+        return false;
+    const auto found = notices_.find(which.id());
+    if (found == notices_.end() || found->second.address != which.address ||
+        now >= found->second.asked_until)
+        return false;
+    found->second.rests_until =
+        std::min(found->second.asked_until, now + trial_period);
+    return true;
+}
+
+void endpoint_notices::end_rest(const endpoint_record& which)
+{
+    if (notices_.empty())
+        return;
+    const auto found = notices_.find(which.id());
+    if (found == notices_.end() || found->second.address != which.address)
+        return;
+    found->second.rests_until = time_point();
+    found->second.asked_until = time_point();
 }
 
 time_point endpoint_notices::rests_until(const endpoint_record& which) const
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -132,7 +132,7 @@
         return withheld_reason::leaving;
     if (found->second.is_drained)
         return withheld_reason::drained;
-    if (found->second.is_resting(now))
+    if (found->second.is_resting(now) && !at.is_trial)
         return withheld_reason::resting;
     if (found->second.is_limited(now) && !admits(now, found->second, 0))
         return withheld_reason::warming_up;
@@ -387,6 +387,11 @@
     {
     case attempt_outcome::succeeded:
         health.succeeded(now);
+        if (at.is_trial)
+        {
+            notices_.end_rest(at.endpoint);
+            apply_notices(at.hold.endpoint);
+        }
         note_held(now, at);
         break;
     case attempt_outcome::failed:
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -385,6 +385,13 @@
     if (best->wait_ms > allowed && !is_unknown)
         return refuse_for_load(asked, best->wait_ms, allowed);
     admitted.sent.add(now, 1);
+    if (notices_.note_trial(now, best->state->record))
+    {
+        placement_decision trial = place(of, std::move(*best));
+        apply_notices(trial.hold.endpoint);
+        trial.is_trial = true;
+        return trial;
+    }
     return place(of, std::move(*best));
 }
 
--- a/packages/core/unittests/direct_notices_test.cpp
+++ b/packages/core/unittests/direct_notices_test.cpp
@@ -244,3 +244,21 @@
     cr_expect_leq(sent, 2, "%d requests within the rest", sent);
     cr_expect(fix.used(start + seconds(91)).contains("one"));
 }
+
+// A trial that is served ends the rest, and one that waits for its connection
+// is sent although the endpoint rests for all others.
+Test(direct_notices, an_endpoint_that_serves_a_trial_rests_no_more)
+{
+    fixture fix;
+    fix.list({"one"});
+    fix.decides.note_rest(start, record("one", "one:1"), seconds(90));
+    const time_point now = start + seconds(61);
+    placement_decision trial = fix.place(now);
+    cr_expect_not(fix.decides.withheld(now, trial).has_value());
+    cr_expect(fix.used(now).empty());
+    request_profile asked = fix.ask_for({{1, 1000}, {2, 100}}, now);
+    fix.decides.sent(now, asked, trial);
+    fix.decides.finished(now, trial, attempt_outcome::succeeded);
+    cr_expect_eq(fix.used(now).size(), 1U);
+    cr_expect_eq(fix.used(now).size(), 1U);
+}
