--- a/packages/adapters/lib/caller_server.cpp
+++ b/packages/adapters/lib/caller_server.cpp
@@ -1,6 +1,7 @@
 // Listener and traffic threads.
 #include "sycamorelock/adapters/caller_server.hpp"
 
+#include "accept_pause.hpp"
 #include "caller_session.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -141,7 +142,10 @@
             if (closed)
                 co_return;
             if (error)
+            {
+                co_await wait_after_failed_accept();
                 continue;
+            }
             serve(chosen, std::move(socket));
         }
     }
--- a/packages/adapters/lib/direct/page_server.cpp
+++ b/packages/adapters/lib/direct/page_server.cpp
@@ -1,6 +1,7 @@
 // One coroutine a connection.
 #include "sycamorelock/adapters/direct/page_server.hpp"
 
+#include "../accept_pause.hpp"
 #include "../http.hpp"
 
 #include <boost/asio/post.hpp>
@@ -12,6 +13,9 @@
 {
 
 constexpr std::chrono::seconds connection_timeout{30};
+/// Time for a page to be made. Callers ask again within a second or some.
+constexpr std::chrono::seconds page_timeout{5};
+constexpr unsigned service_unavailable = 503;
 
 } // namespace
 
@@ -25,20 +29,22 @@
     {
     }
 
-    void accept()
+    asio::awaitable<void> accept()
     {
-        acceptor_.async_accept(
-            [self = shared_from_this()](error_code error, tcp::socket socket)
+        const auto self = shared_from_this();
+        for (;;)
+        {
+            auto [error, socket] = co_await acceptor_.async_accept(as_result);
+            if (!acceptor_.is_open())
+                co_return;
+            if (error)
             {
-                if (!self->acceptor_.is_open())
-                    return;
-                if (!error)
-                    asio::co_spawn(
-                        self->io_,
-                        self->serve(beast::tcp_stream(std::move(socket))),
-                        asio::detached);
-                self->accept();
-            });
+                co_await wait_after_failed_accept();
+                continue;
+            }
+            asio::co_spawn(io_, serve(beast::tcp_stream(std::move(socket))),
+                           asio::detached);
+        }
     }
 
   private:
@@ -70,8 +76,10 @@
 
     asio::awaitable<page> ask(std::string path)
     {
-        asio::steady_timer answered(io_, asio::steady_timer::time_point::max());
-        const auto made = std::make_shared<page>();
+        asio::steady_timer answered(io_, page_timeout);
+        // Stays if the page is not made in time.
+        const auto made = std::make_shared<page>(
+            page{service_unavailable, "not made in time\n"});
         const auto open = std::make_shared<asio::steady_timer*>(&answered);
         handle_(path,
                 [this, made, open](page reply)
@@ -98,7 +106,8 @@
                          const std::string& address, handler handle)
     : impl_(std::make_shared<impl>(io, address, std::move(handle)))
 {
-    impl_->accept();
+    asio::co_spawn(
+        io, [impl = impl_] { return impl->accept(); }, asio::detached);
 }
 
 } // namespace sycamorelock::adapters::direct
--- a/packages/adapters/lib/operator_server.cpp
+++ b/packages/adapters/lib/operator_server.cpp
@@ -1,6 +1,7 @@
 // The operators' HTTP port.
 #include "sycamorelock/adapters/operator_server.hpp"
 
+#include "accept_pause.hpp"
 #include "http.hpp"
 
 #include "sycamorelock/adapters/report.hpp"
@@ -84,7 +85,10 @@
                 error == asio::error::bad_descriptor)
                 co_return;
             if (error)
+            {
+                co_await wait_after_failed_accept();
                 continue;
+            }
             asio::co_spawn(self->control_.context(),
                            serve(self, beast::tcp_stream(std::move(socket))),
                            asio::detached);
