--- a/packages/adapters/lib/direct/control_plane_endpoints.cpp
+++ b/packages/adapters/lib/direct/control_plane_endpoints.cpp
@@ -112,10 +112,7 @@
 
 void control_plane::on_news(const store_news& news)
 {
-    std::vector<core::direct::domain_drain> drains = news.drains;
-    std::erase_if(drains, [this](const core::direct::domain_drain& each)
-                  { return !drains_.put(now(), each); });
-    drains_changed(drains, store_source);
+    drains_changed(drains_.put_all(now(), news.drains), store_source);
     bool changed = !news.unreadable.empty();
     for (const endpoint_record& record : news.endpoints)
     {
@@ -211,10 +208,7 @@
 {
     const core::time_point at = now();
     const core::direct::store_view& told = report.store;
-    std::vector<core::direct::domain_drain> drains = told.drains;
-    std::erase_if(drains, [this, at](const core::direct::domain_drain& each)
-                  { return !drains_.put(at, each); });
-    drains_changed(drains, report.sender);
+    drains_changed(drains_.put_all(at, told.drains), report.sender);
     bool wanted = told.revision > store_.revision();
     if (report.part == core::direct::report_part::rest)
     {
--- a/packages/core/include/sycamorelock/core/direct/drained_domains.hpp
+++ b/packages/core/include/sycamorelock/core/direct/drained_domains.hpp
@@ -37,6 +37,10 @@
     /// Takes one statement. Returns whether it is newer than what was known.
     bool put(time_point now, const domain_drain& told);
 
+    /// Takes several. \return those that are newer than what was known.
+    std::vector<domain_drain> put_all(time_point now,
+                                      const std::vector<domain_drain>& told);
+
     /// Takes a complete listing of the active drains.
     /// \param revision generation up to which the listing is right; drains
     /// that it lacks have ended unless they are newer.
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -392,7 +392,7 @@
     /// Puts in force what is known of its warm-up.
     void renew_limit(endpoint_state& at) const;
     /// Time for which an endpoint of a service warms up; zero if it needs none.
-    [[nodiscard]] duration warmup_of(service_id service) const;
+    [[nodiscard]] duration warmup_of(service_id id) const;
     /// Whether one more request may go to an endpoint that warms up.
     /// \param chosen those that were chosen for it before and are not sent.
     [[nodiscard]] bool admits(time_point now, const endpoint_state& at,
--- a/packages/core/lib/direct/drained_domains.cpp
+++ b/packages/core/lib/direct/drained_domains.cpp
@@ -16,6 +16,18 @@
     return true;
 }
 
+std::vector<domain_drain>
+drained_domains::put_all(time_point now, const std::vector<domain_drain>& told)
+{
+    std::vector<domain_drain> newer;
+    for (const domain_drain& each : told)
+    {
+        if (put(now, each))
+            newer.push_back(each);
+    }
+    return newer;
+}
+
 std::vector<domain_drain>
 drained_domains::replace(time_point now, std::uint64_t revision,
                          const std::vector<domain_drain>& active)
--- a/packages/core/lib/direct/router_warmup.cpp
+++ b/packages/core/lib/direct/router_warmup.cpp
@@ -7,9 +7,9 @@
 namespace sycamorelock::core::direct
 {
 
-duration router::warmup_of(service_id service) const
+duration router::warmup_of(service_id id) const
 {
-    const class service* kind = config_ ? find_service(service) : nullptr;
+    const service* kind = config_ ? find_service(id) : nullptr;
     return kind == nullptr ? duration(0) : duration(kind->warmup);
 }
 
