--- a/packages/adapters/lib/direct/page_server.cpp
+++ b/packages/adapters/lib/direct/page_server.cpp
@@ -15,7 +15,6 @@
 constexpr std::chrono::seconds connection_timeout{30};
 /// Time for a page to be made. Callers ask again within a second or some.
 constexpr std::chrono::seconds page_timeout{5};
-constexpr unsigned service_unavailable = 503;
 
 } // namespace
 
@@ -79,7 +78,8 @@
         asio::steady_timer answered(io_, page_timeout);
         // Stays if the page is not made in time.
         const auto made = std::make_shared<page>(
-            page{service_unavailable, "not made in time\n"});
+            page{static_cast<unsigned>(http::status::service_unavailable),
+                 "not made in time\n"});
         const auto open = std::make_shared<asio::steady_timer*>(&answered);
         handle_(path,
                 [this, made, open](page reply)
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -3,6 +3,7 @@
 
 #include "request_session.hpp"
 
+#include "../accept_pause.hpp"
 #include "../drain_limits.hpp"
 #include "../prometheus_text.hpp"
 
@@ -46,8 +47,6 @@
 constexpr double full_part = 0.6;
 /// A connection that rested this long is closed first.
 constexpr core::duration resting = milliseconds(300);
-/// Pause after an accept that failed, as descriptors are short.
-constexpr milliseconds accept_pause{20};
 
 } // namespace
 
--- a/packages/adapters/unittests/close_order_test.cpp
+++ b/packages/adapters/unittests/close_order_test.cpp
@@ -396,6 +396,18 @@
     std::thread thread_;
 };
 
+void close_link(pair& both)
+{
+    closing close([&] { both.link.reset(); });
+    close.must_return("the close of the link returns");
+}
+
+void close_inbox(pair& both)
+{
+    closing close([&] { both.inbox.reset(); });
+    close.must_return("the close of the inbox returns");
+}
+
 /// Other inboxes whose receivers keep the threads that carry out callbacks:
 /// what follows a part that is written waits until they go on. Receivers that
 /// share one thread are one at a time.
@@ -473,8 +485,7 @@
     std::this_thread::sleep_for(50ms);
     released.open();
     close.must_return("the close of the inbox returns");
-    closing close_link([&] { both.link.reset(); });
-    close_link.must_return("the close of the link returns");
+    close_link(both);
     nothing_stays();
 }
 
@@ -485,10 +496,8 @@
     send_and_hold(both);
     released.open();
     std::this_thread::sleep_for(50ms);
-    closing close([&] { both.inbox.reset(); });
-    close.must_return("the close of the inbox returns");
-    closing close_link([&] { both.link.reset(); });
-    close_link.must_return("the close of the link returns");
+    close_inbox(both);
+    close_link(both);
     nothing_stays();
 }
 
@@ -503,8 +512,7 @@
     std::this_thread::sleep_for(200ms);
     others.go_on();
     close.must_return("the close of the link returns");
-    closing close_inbox([&] { both.inbox.reset(); });
-    close_inbox.must_return("the close of the inbox returns");
+    close_inbox(both);
     others.close();
     nothing_stays();
 }
@@ -518,10 +526,8 @@
     send_a_part(both);
     others.go_on();
     std::this_thread::sleep_for(200ms);
-    closing close([&] { both.link.reset(); });
-    close.must_return("the close of the link returns");
-    closing close_inbox([&] { both.inbox.reset(); });
-    close_inbox.must_return("the close of the inbox returns");
+    close_link(both);
+    close_inbox(both);
     others.close();
     nothing_stays();
 }
@@ -537,10 +543,8 @@
     std::this_thread::sleep_for(200ms);
     others.go_on();
     again.must_return("redial returns");
-    closing close([&] { both.link.reset(); });
-    close.must_return("the close of the link returns");
-    closing close_inbox([&] { both.inbox.reset(); });
-    close_inbox.must_return("the close of the inbox returns");
+    close_link(both);
+    close_inbox(both);
     others.close();
     nothing_stays();
 }
@@ -565,11 +569,9 @@
 {
     pair both(1);
     begin_to_send(both, std::string(2000, 'x'));
-    closing close([&] { both.link.reset(); });
-    close.must_return("the close of the link returns");
+    close_link(both);
     armed = kind::none;
-    closing close_inbox([&] { both.inbox.reset(); });
-    close_inbox.must_return("the close of the inbox returns");
+    close_inbox(both);
     nothing_stays();
 }
 
--- a/packages/core/include/sycamorelock/core/direct/drained_domains.hpp
+++ b/packages/core/include/sycamorelock/core/direct/drained_domains.hpp
@@ -5,7 +5,6 @@
 #include "sycamorelock/core/strong_types.hpp"
 
 #include <map>
-#include <optional>
 #include <set>
 #include <vector>
 
--- a/packages/core/include/sycamorelock/core/direct/endpoint_notices.hpp
+++ b/packages/core/include/sycamorelock/core/direct/endpoint_notices.hpp
@@ -46,7 +46,7 @@
     bool note_trial(time_point now, const endpoint_record& which);
 
     /// The endpoint served a request: it rests no more.
-    void end_rest(const endpoint_record& which);
+    void end_rest(time_point now, const endpoint_record& which);
 
     /// Forgets endpoints that have not been listed for long.
     void keep_listed(time_point now,
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -173,9 +173,9 @@
     void set_drained(time_point now, const std::set<domain_id>& domains,
                      std::span<const domain_drain> ended);
     /// Instances that may send requests, without this one.
-    void set_members(time_point now, std::vector<fleet_member> members)
+    void set_members(time_point now, const std::vector<fleet_member>& members)
     {
-        parts_.set_members(now, std::move(members));
+        parts_.set_members(now, members);
     }
     /// Endpoints that warm up, as another instance knows.
     void on_warming(time_point now, std::span<const warming_notice> notices);
@@ -294,6 +294,11 @@
         {
             return now < limited_until;
         }
+        /// Whether engines may fetch from it.
+        [[nodiscard]] bool is_source(time_point now) const
+        {
+            return is_usable(now) && !is_limited(now);
+        }
         /// Apart from the limit of a warm-up.
         [[nodiscard]] bool is_usable(time_point now) const
         {
@@ -424,7 +429,9 @@
                                       const service& kind) const;
     /// Asks to come back after about a pause, each caller after another one.
     refusal_decision refuse(refusal reason, double pause_ms, double wait_ms);
-    /// Asks to come back no sooner than a time, each caller after another one.
+    /// A time no shorter than another, for each caller another one.
+    [[nodiscard]] double spread_beyond(double ms);
+    /// Asks to come back no sooner than a time.
     refusal_decision refuse_until(refusal reason, duration time);
     refusal_decision refuse_for_load(const request_profile& asked,
                                      double wait_ms, double allowed_ms);
@@ -436,6 +443,9 @@
     [[nodiscard]] double kept_tokens(endpoint_id endpoint) const;
     /// Counts how many ask about each prompt. Only a large fleet chooses by it.
     void note_demand(time_point now, std::span<const cache_note> notes);
+    /// All endpoints of a service that are listed.
+    [[nodiscard]] std::span<const endpoint_state* const>
+    endpoints_of(service_id service) const;
     /// Endpoints that a request may go to, without those in `tried`.
     [[nodiscard]] std::vector<const endpoint_state*>
     usable(time_point now, const request_profile& asked, const service& kind,
--- a/packages/core/include/sycamorelock/core/direct/slow_start.hpp
+++ b/packages/core/include/sycamorelock/core/direct/slow_start.hpp
@@ -39,7 +39,7 @@
                     std::set<domain_id> domains);
 
     /// Takes the instances that are known now, without this one.
-    void set_members(time_point now, std::vector<fleet_member> members);
+    void set_members(time_point now, const std::vector<fleet_member>& members);
 
     /// Requests that this instance may send to an endpoint in any second.
     /// \param allowance those that all instances together may send.
@@ -51,7 +51,8 @@
     struct view
     {
         time_point since;
-        std::vector<fleet_member> members;
+        /// Other instances of the own domain.
+        std::vector<instance_id> others;
     };
 
     [[nodiscard]] unsigned part_in(const view& seen, endpoint_id endpoint,
@@ -60,7 +61,7 @@
     instance_id self_;
     domain_id own_;
     std::set<domain_id> domains_;
-    /// Oldest first. Empty until anything is known.
+    /// Newest first. Empty until anything is known.
     std::deque<view> views_;
 };
 
--- a/packages/core/lib/direct/endpoint_notices.cpp
+++ b/packages/core/lib/direct/endpoint_notices.cpp
@@ -51,26 +51,21 @@
 
 bool endpoint_notices::note_trial(time_point now, const endpoint_record& which)
 {
-    if (notices_.empty())
-        return false;
-    const auto found = notices_.find(which.id());
-    if (found == notices_.end() || found->second.address != which.address ||
-        now >= found->second.asked_until)
+    const notice* known = find(which);
+    if (known == nullptr || now >= known->asked_until)
         return false;
-    found->second.rests_until =
-        std::min(found->second.asked_until, now + trial_period);
+    of(now, which).rests_until =
+        std::min(known->asked_until, now + trial_period);
     return true;
 }
 
-void endpoint_notices::end_rest(const endpoint_record& which)
+void endpoint_notices::end_rest(time_point now, const endpoint_record& which)
 {
-    if (notices_.empty())
-        return;
-    const auto found = notices_.find(which.id());
-    if (found == notices_.end() || found->second.address != which.address)
+    if (find(which) == nullptr)
         return;
-    found->second.rests_until = time_point();
-    found->second.asked_until = time_point();
+    notice& known = of(now, which);
+    known.rests_until = time_point();
+    known.asked_until = time_point();
 }
 
 time_point endpoint_notices::rests_until(const endpoint_record& which) const
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -142,8 +142,7 @@
 bool router::may_fetch(time_point now, const fetch_plan& plan) const
 {
     const auto found = endpoints_.find(plan.source);
-    return found != endpoints_.end() && found->second.is_usable(now) &&
-           !found->second.is_limited(now);
+    return found != endpoints_.end() && found->second.is_source(now);
 }
 
 bool router::note_leaving(time_point now, const endpoint_record& from)
@@ -170,11 +169,8 @@
 std::optional<milliseconds> router::rest_pause(time_point now,
                                                service_id service)
 {
-    const auto listed = by_service_.find(service);
     std::optional<time_point> first_end;
-    if (listed == by_service_.end())
-        return std::nullopt;
-    for (const endpoint_state* state : listed->second)
+    for (const endpoint_state* state : endpoints_of(service))
     {
         if (state->is_leaving() || state->is_drained)
             continue;
@@ -185,10 +181,15 @@
     }
     if (!first_end)
         return std::nullopt;
-    // Spread, so that not all callers come at the moment at which it ends.
-    std::uniform_real_distribution<double> spread(1, 1.25);
     return milliseconds(static_cast<milliseconds::rep>(
-        std::ceil(to_ms(*first_end - now) * spread(random_))));
+        std::ceil(spread_beyond(to_ms(*first_end - now)))));
+}
+
+double router::spread_beyond(double ms)
+{
+    // So that not all callers come at the moment at which it ends.
+    std::uniform_real_distribution<double> spread(1, 1.25);
+    return ms * spread(random_);
 }
 
 void router::set_endpoints(time_point now,
@@ -226,38 +227,13 @@
     renew_guesses();
 }
 
-void router::set_drained(time_point now, const std::set<domain_id>& domains,
-                         std::span<const domain_drain> ended)
-{
-    drained_ = domains;
-    for (auto& [id, state] : endpoints_)
-        state.is_drained = drained_.contains(state.record.domain);
-    for (const domain_drain& each : ended)
-    {
-        for (auto& [id, state] : endpoints_)
-        {
-            if (state.record.domain == each.domain)
-                limit(now, state,
-                      warmup_of(state.record.service) - each.ended_for, false);
-        }
-    }
-}
-
-bool router::all_drained(service_id service) const
+std::span<const router::endpoint_state* const>
+router::endpoints_of(service_id service) const
 {
     const auto listed = by_service_.find(service);
     if (listed == by_service_.end())
-        return false;
-    bool any = false;
-    for (const endpoint_state* state : listed->second)
-    {
-        if (state->is_leaving())
-            continue;
-        if (!state->is_drained)
-            return false;
-        any = true;
-    }
-    return any;
+        return {};
+    return listed->second;
 }
 
 const service* router::find_service(service_id id) const
@@ -389,7 +365,7 @@
         health.succeeded(now);
         if (at.is_trial)
         {
-            notices_.end_rest(at.endpoint);
+            notices_.end_rest(now, at.endpoint);
             apply_notices(at.hold.endpoint);
         }
         note_held(now, at);
@@ -508,8 +484,10 @@
     report.warming.clear();
     for (const auto& [id, state] : endpoints_)
     {
+        if (state.warming_revision == 0)
+            continue;
         const duration left = slow_start_.left(now, id);
-        if (state.warming_revision > 0 && left > duration(0))
+        if (left > duration(0))
             report.warming.push_back(
                 {id, state.warming_revision,
                  std::chrono::duration_cast<milliseconds>(left)});
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -76,12 +76,10 @@
 router::usable(time_point now, const request_profile& asked,
                const service& kind, const std::set<endpoint_id>& tried) const
 {
+    const std::span<const endpoint_state* const> listed = endpoints_of(kind.id);
     std::vector<const endpoint_state*> result;
-    const auto listed = by_service_.find(kind.id);
-    if (listed == by_service_.end())
-        return result;
-    result.reserve(listed->second.size());
-    for (const endpoint_state* state : listed->second)
+    result.reserve(listed.size());
+    for (const endpoint_state* state : listed)
     {
         const bool is_open =
             state->is_usable(now) &&
@@ -103,14 +101,13 @@
                                           const service& kind) const
 {
     prompt_source best;
-    const auto listed = by_service_.find(kind.id);
     if (!kind.can_fetch() || asked.parts.empty() ||
-        listed == by_service_.end() || !uses(mechanism::prompt_fetch))
+        !uses(mechanism::prompt_fetch))
         return best;
     double best_busy = 0;
-    for (const endpoint_state* state : listed->second)
+    for (const endpoint_state* state : endpoints_of(kind.id))
     {
-        if (!state->is_usable(now) || state->is_limited(now))
+        if (!state->is_source(now))
             continue;
         const double tokens = cache_.ready(now, state->id, asked.parts);
         const double busy = links_.busy_ms(now, state->id);
@@ -312,8 +309,7 @@
 refusal_decision router::refuse_until(refusal reason, duration time)
 {
     static constexpr double least_ms = 100;
-    std::uniform_real_distribution<double> spread(1, 1.25);
-    const double pause = std::max(least_ms, to_ms(time)) * spread(random_);
+    const double pause = spread_beyond(std::max(least_ms, to_ms(time)));
     return {reason, milliseconds(static_cast<int>(pause)), 0};
 }
 
@@ -385,14 +381,11 @@
     if (best->wait_ms > allowed && !is_unknown)
         return refuse_for_load(asked, best->wait_ms, allowed);
     admitted.sent.add(now, 1);
-    if (notices_.note_trial(now, best->state->record))
-    {
-        placement_decision trial = place(of, std::move(*best));
-        apply_notices(trial.hold.endpoint);
-        trial.is_trial = true;
-        return trial;
-    }
-    return place(of, std::move(*best));
+    placement_decision made = place(of, std::move(*best));
+    made.is_trial = notices_.note_trial(now, made.endpoint);
+    if (made.is_trial)
+        apply_notices(made.hold.endpoint);
+    return made;
 }
 
 bool router::waits_for_a_guess(const weighing& of, const candidate& at) const
--- a/packages/core/lib/direct/router_warmup.cpp
+++ b/packages/core/lib/direct/router_warmup.cpp
@@ -1,4 +1,5 @@
-// Endpoints that warm up get a limited part of the requests.
+// Endpoints of drained failure domains get nothing new, those that warm up a
+// limited part of the requests.
 #include "sycamorelock/core/direct/router.hpp"
 
 #include <algorithm>
@@ -7,6 +8,37 @@
 namespace sycamorelock::core::direct
 {
 
+void router::set_drained(time_point now, const std::set<domain_id>& domains,
+                         std::span<const domain_drain> ended)
+{
+    drained_ = domains;
+    for (auto& [id, state] : endpoints_)
+        state.is_drained = drained_.contains(state.record.domain);
+    for (const domain_drain& each : ended)
+    {
+        for (auto& [id, state] : endpoints_)
+        {
+            if (state.record.domain == each.domain)
+                limit(now, state,
+                      warmup_of(state.record.service) - each.ended_for, false);
+        }
+    }
+}
+
+bool router::all_drained(service_id service) const
+{
+    bool any = false;
+    for (const endpoint_state* state : endpoints_of(service))
+    {
+        if (state->is_leaving())
+            continue;
+        if (!state->is_drained)
+            return false;
+        any = true;
+    }
+    return any;
+}
+
 duration router::warmup_of(service_id id) const
 {
     const service* kind = config_ ? find_service(id) : nullptr;
@@ -31,10 +63,9 @@
 
 void router::note_warmup(time_point now, endpoint_state& at, bool was_known)
 {
-    const duration whole = warmup_of(at.record.service);
     // While its entry was missing it may have been down.
     if (!was_known && slow_start_.listed_again(at.id))
-        limit(now, at, whole, false);
+        limit(now, at, warmup_of(at.record.service), false);
     if (at.record.warmup_left.count() == 0 ||
         at.record.revision <= at.warming_revision)
         return;
@@ -84,11 +115,8 @@
 std::optional<duration> router::warming_pause(time_point now,
                                               service_id service) const
 {
-    const auto listed = by_service_.find(service);
     std::optional<duration> first;
-    if (listed == by_service_.end())
-        return first;
-    for (const endpoint_state* state : listed->second)
+    for (const endpoint_state* state : endpoints_of(service))
     {
         if (!state->is_usable(now) || !state->is_limited(now))
             continue;
--- a/packages/core/lib/direct/slow_start.cpp
+++ b/packages/core/lib/direct/slow_start.cpp
@@ -21,20 +21,17 @@
 }
 
 /// How many ids have a higher rank for an endpoint than one of them.
-template <class Ids, class Id, class ValueOf>
-std::size_t place_of(const Ids& ids, Id which, endpoint_id endpoint,
-                     ValueOf value_of)
+template <class Ids, class Id>
+std::size_t place_of(const Ids& ids, Id which, endpoint_id endpoint)
 {
     const double own = rank_of(which.value(), endpoint);
-    std::size_t higher = 0;
-    for (const auto& each : ids)
-    {
-        const auto id = value_of(each);
-        const double rank = rank_of(id.value(), endpoint);
-        if (id != which && (rank > own || (rank == own && id < which)))
-            ++higher;
-    }
-    return higher;
+    return static_cast<std::size_t>(std::count_if(
+        ids.begin(), ids.end(),
+        [&](Id id)
+        {
+            const double rank = rank_of(id.value(), endpoint);
+            return id != which && (rank > own || (rank == own && id < which));
+        }));
 }
 
 } // namespace
@@ -47,47 +44,45 @@
 }
 
 void allowance_parts::set_members(time_point now,
-                                  std::vector<fleet_member> members)
+                                  const std::vector<fleet_member>& members)
 {
+    std::vector<instance_id> others;
     for (const fleet_member& each : members)
+    {
         domains_.insert(each.domain);
-    std::erase_if(members, [this](const fleet_member& each)
-                  { return each.domain != own_ || each.instance == self_; });
-    std::sort(members.begin(), members.end());
-    if (!views_.empty() && views_.back().members == members)
+        if (each.domain == own_ && each.instance != self_)
+            others.push_back(each.instance);
+    }
+    std::sort(others.begin(), others.end());
+    if (!views_.empty() && views_.front().others == others)
         return;
-    views_.push_back({now, std::move(members)});
-    while (views_.size() > 1 && now - views_[1].since >= settling)
-        views_.pop_front();
+    views_.push_front({now, std::move(others)});
+    while (views_.size() > 1 &&
+           now - views_[views_.size() - 2].since >= settling)
+        views_.pop_back();
 }
 
 unsigned allowance_parts::part_in(const view& seen, endpoint_id endpoint,
                                   unsigned allowance) const
 {
-    const std::size_t domain_place =
-        place_of(domains_, own_, endpoint, [](domain_id each) { return each; });
     const unsigned of_domain =
-        part_at(domain_place, domains_.size(), allowance);
-    const std::size_t place =
-        place_of(seen.members, self_, endpoint,
-                 [](const fleet_member& each) { return each.instance; });
-    return part_at(place, seen.members.size() + 1, of_domain);
+        part_at(place_of(domains_, own_, endpoint), domains_.size(), allowance);
+    return part_at(place_of(seen.others, self_, endpoint),
+                   seen.others.size() + 1, of_domain);
 }
 
 unsigned allowance_parts::own_part(time_point now, endpoint_id endpoint,
                                    unsigned allowance) const
 {
-    if (views_.empty() || now - views_.front().since < settling)
-        return 0;
     unsigned least = std::numeric_limits<unsigned>::max();
-    for (std::size_t i = 0; i < views_.size(); ++i)
+    for (const view& seen : views_)
     {
-        const bool is_over =
-            i + 1 < views_.size() && now - views_[i + 1].since >= settling;
-        if (!is_over)
-            least = std::min(least, part_in(views_[i], endpoint, allowance));
+        least = std::min(least, part_in(seen, endpoint, allowance));
+        // What was seen before it has settled.
+        if (now - seen.since >= settling)
+            return least;
     }
-    return least;
+    return 0;
 }
 
 void slow_start::note(time_point now, endpoint_id endpoint, duration left,
--- a/packages/core/unittests/direct_drains_test.cpp
+++ b/packages/core/unittests/direct_drains_test.cpp
@@ -34,12 +34,8 @@
 
     static endpoint_record record(const std::string& boot, domain_id domain)
     {
-        endpoint_record made;
-        made.boot = boot;
-        made.address = boot + ":1";
-        made.service = drafts;
+        endpoint_record made = engine_record(boot);
         made.domain = domain;
-        made.slots = 64;
         return made;
     }
 
--- a/packages/core/unittests/direct_fixture.hpp
+++ b/packages/core/unittests/direct_fixture.hpp
@@ -12,6 +12,17 @@
 constexpr time_point start{std::chrono::seconds(1000)};
 inline const service_id drafts = service_id::of("drafts");
 
+/// An engine of that service at an address of its own.
+inline endpoint_record engine_record(const std::string& boot)
+{
+    endpoint_record made;
+    made.boot = boot;
+    made.address = boot + ":1";
+    made.service = drafts;
+    made.slots = 64;
+    return made;
+}
+
 struct two_engines
 {
     std::shared_ptr<catalogue> config = std::make_shared<catalogue>();
@@ -55,11 +66,7 @@
         std::map<std::string, endpoint_record> all;
         for (const std::string& name : names)
         {
-            endpoint_record record;
-            record.boot = name;
-            record.address = name + ":1";
-            record.service = drafts;
-            record.slots = 64;
+            endpoint_record record = engine_record(name);
             record.started_ms = started_ms;
             all[name] = record;
         }
--- a/packages/core/unittests/direct_notices_test.cpp
+++ b/packages/core/unittests/direct_notices_test.cpp
@@ -46,11 +46,8 @@
 endpoint_record record(const std::string& boot, const std::string& address,
                        std::uint64_t started_ms = 0)
 {
-    endpoint_record made;
-    made.boot = boot;
+    endpoint_record made = engine_record(boot);
     made.address = address;
-    made.service = drafts;
-    made.slots = 64;
     made.started_ms = started_ms;
     return made;
 }
--- a/packages/core/unittests/direct_slow_start_test.cpp
+++ b/packages/core/unittests/direct_slow_start_test.cpp
@@ -227,11 +227,7 @@
     static endpoint_record record(const std::string& boot, int left_ms,
                                   std::uint64_t revision = 1)
     {
-        endpoint_record made;
-        made.boot = boot;
-        made.address = boot + ":1";
-        made.service = drafts;
-        made.slots = 64;
+        endpoint_record made = engine_record(boot);
         made.revision = revision;
         made.warmup_left = milliseconds(left_ms);
         return made;
--- a/packages/wire/lib/exchange_codec.cpp
+++ b/packages/wire/lib/exchange_codec.cpp
@@ -27,6 +27,15 @@
     return value;
 }
 
+/// A time as it travels. A longer one than fits says the same.
+std::uint32_t ms_of(core::duration time)
+{
+    using std::chrono::milliseconds;
+    constexpr std::int64_t most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        std::chrono::duration_cast<milliseconds>(time).count(), 0, most));
+}
+
 void encode_notes(const direct::exchange_report& report,
                   pb::ExchangeReport& out)
 {
@@ -34,8 +43,7 @@
     {
         pb::CacheNote& item = *out.add_notes();
         item.set_engine(note.engine.value());
-        item.set_due_ms(static_cast<std::uint32_t>(
-            std::max<std::int64_t>(0, note.due.count())));
+        item.set_due_ms(ms_of(note.due));
         for (const direct::prompt_part& part : note.parts)
         {
             item.add_keys(part.key);
@@ -97,15 +105,6 @@
     return told;
 }
 
-/// A time as it travels. A longer one than fits says the same.
-std::uint32_t ms_of(core::duration time)
-{
-    using std::chrono::milliseconds;
-    constexpr std::int64_t most = std::numeric_limits<std::uint32_t>::max();
-    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
-        std::chrono::duration_cast<milliseconds>(time).count(), 0, most));
-}
-
 void encode_store(const direct::store_view& view, pb::StoreView& out)
 {
     out.set_revision(view.revision);
--- a/test/integration/drains_test.cpp
+++ b/test/integration/drains_test.cpp
@@ -4,7 +4,6 @@
 
 #include <criterion/criterion.h>
 
-#include <algorithm>
 #include <thread>
 
 using namespace standin;
@@ -25,15 +24,6 @@
     return plan;
 }
 
-/// Requests that reached an engine later than a moment.
-std::ptrdiff_t arrived_after(const direct_engine& at, moment latest)
-{
-    const std::vector<arrival> all = at.arrivals();
-    return std::count_if(all.begin(), all.end(),
-                         [latest](const arrival& each)
-                         { return each.at > latest; });
-}
-
 /// Asks through each instance about prompts of their own, so that both engines
 /// are chosen.
 void ask_about_many(direct_fleet& fleet, std::size_t instances, int rounds)
--- a/test/integration/endpoint_news_test.cpp
+++ b/test/integration/endpoint_news_test.cpp
@@ -4,7 +4,6 @@
 
 #include <criterion/criterion.h>
 
-#include <algorithm>
 #include <thread>
 
 using namespace standin;
@@ -17,15 +16,6 @@
 /// Time for which a leaving endpoint may still be sent requests.
 constexpr milliseconds leaving_bound{3000};
 
-/// Requests that reached an endpoint later than a moment.
-std::ptrdiff_t arrived_after(const direct_engine& at, moment latest)
-{
-    const std::vector<arrival> all = at.arrivals();
-    return std::count_if(all.begin(), all.end(),
-                         [latest](const arrival& each)
-                         { return each.at > latest; });
-}
-
 /// The instance that reads the store for all others; none if several do.
 std::optional<std::size_t> reader_of(direct_fleet& fleet, std::size_t instances)
 {
