One way to accept, which logs and counts what fails

Callers and balancers that waited at an instance without descriptors left no trace: four of the five listeners said nothing, and the callers' listener of direct routing wrote a line at each pause (96 in some 5 s).

One line when accepts begin to fail (1203, 3403), one when none has failed for a second (1204, 3405), and a counter of each failure by listener (accept_failures_total). An error after the start is event 1006, no longer start_failed. pull_inbox keeps its own loop: it may be closed on any thread.

--- a/packages/adapters/include/sycamorelock/adapters/direct/page_server.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/page_server.hpp
@@ -1,6 +1,9 @@
 // Small pages for the balancer and for operators.
 #pragma once
 
+#include "sycamorelock/adapters/event_log.hpp"
+#include "sycamorelock/adapters/listener_metrics.hpp"
+
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
@@ -17,6 +20,14 @@
     std::string text;
 };
 
+struct page_server_options
+{
+    /// Name of the listener in the log and in the metrics.
+    const char* name = "pages";
+    /// Told of accepts that fail. May be missing.
+    event_log* log = nullptr;
+};
+
 /// Serves GET requests on one address, on the thread of the io_context.
 class page_server
 {
@@ -28,7 +39,10 @@
     /// \throws boost::system::system_error if the address cannot be listened
     /// on.
     page_server(boost::asio::io_context& io, const std::string& address,
-                handler handle);
+                handler handle, const page_server_options& options = {});
+
+    /// Any thread.
+    [[nodiscard]] const listener_metrics& metrics() const;
 
   private:
     class impl;
--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
@@ -4,6 +4,7 @@
 
 #include "sycamorelock/adapters/direct/dialect.hpp"
 #include "sycamorelock/adapters/event_log.hpp"
+#include "sycamorelock/adapters/listener_metrics.hpp"
 #include "sycamorelock/core/direct/exchange.hpp"
 #include "sycamorelock/core/direct/router.hpp"
 #include "sycamorelock/settings/direct_settings.hpp"
@@ -70,6 +71,8 @@
     /// Stops accepting and closes idle connections; calls back when nothing is
     /// open any more.
     void close(std::function<void()> on_idle);
+    /// Any thread.
+    [[nodiscard]] const listener_metrics& callers() const;
     /// Makes the metrics page and calls back on the traffic thread.
     void describe(std::function<void(std::string)> done);
 
--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -42,6 +42,7 @@
     draining = 1003,
     stopped = 1004,
     start_failed = 1005,
+    failed = 1006,
     config_installed = 1101,
     config_refused = 1102,
     members_refused = 1103,
@@ -49,6 +50,8 @@
     platform_returned = 1105,
     peer_message_dropped = 1201,
     peer_connection_unreadable = 1202,
+    accept_failed = 1203,
+    accept_recovered = 1204,
     bad_request = 1301,
     invariant_answer_mixed = 1901,
 };
@@ -85,6 +88,7 @@
     lines_left_out = 3402,
     accept_failed = 3403,
     traffic_late = 3404,
+    accept_recovered = 3405,
     settings_reloaded = 3501,
     settings_refused = 3502,
 };
--- a/packages/adapters/include/sycamorelock/adapters/metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/metrics.hpp
@@ -1,6 +1,7 @@
 // Distributions and counters of the data plane, recorded by any thread.
 #pragma once
 
+#include "sycamorelock/adapters/listener_metrics.hpp"
 #include "sycamorelock/core/messages.hpp"
 
 #include <array>
@@ -46,6 +47,8 @@
     std::atomic<std::uint64_t> endpoint_connects{0};
     std::atomic<std::uint64_t> platform_bytes{0};
     std::atomic<std::uint64_t> platform_calls{0};
+    listener_metrics callers{"caller"};
+    listener_metrics operators{"operator"};
 };
 
 /// Counters of the links to other instances.
--- a/packages/adapters/lib/caller_server.cpp
+++ b/packages/adapters/lib/caller_server.cpp
@@ -1,20 +1,19 @@
 // Listener and traffic threads.
 #include "sycamorelock/adapters/caller_server.hpp"
 
-#include "accept_pause.hpp"
 #include "caller_session.hpp"
+#include "listener.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 
+#include <algorithm>
+
 namespace sycamorelock::adapters
 {
 
 namespace
 {
 
-/// Connections taken at the most when the listener closes.
-constexpr int most_waiting = asio::socket_base::max_listen_connections;
-
 /// One traffic thread with its connections to endpoints.
 class worker
 {
@@ -62,42 +61,49 @@
   public:
     explicit impl(control_plane& control)
         : control_(control), workers_(control.settings().traffic_threads),
-          acceptor_(control.context())
+          listener_(std::make_shared<listener<impl>>(
+              control.context(),
+              tcp::endpoint(asio::ip::make_address(control.settings().address),
+                            control.settings().caller_port),
+              *this, listener_limits{},
+              accept_report(&control.log(), scheduled_accept_events,
+                            control.traffic().callers)))
     {
-        const settings::process_settings& settings = control.settings();
-        const tcp::endpoint at(asio::ip::make_address(settings.address),
-                               settings.caller_port);
-        acceptor_.open(at.protocol());
-        acceptor_.set_option(tcp::acceptor::reuse_address(true));
-        acceptor_.bind(at);
-        acceptor_.listen();
     }
+    ~impl() { listener_->stop(); }
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
 
     void start()
     {
         for (worker& each : workers_)
             each.start();
-        asio::co_spawn(control_.context(), accept_loop(), asio::detached);
+        listener_->start();
     }
 
-    void close_listener()
+    void close_listener() { listener_->close(); }
+
+    asio::io_context& next_context()
     {
-        // The kernel resets connections that it has taken and that are not
-        // accepted when the listener closes.
-        error_code error;
-        acceptor_.non_blocking(true, error);
-        for (int i = 0; i < most_waiting && !error; ++i)
-        {
-            worker& chosen = next_worker();
-            tcp::socket socket(chosen.context());
-            acceptor_.accept(socket, error);
-            if (!error)
-                serve(chosen, std::move(socket));
-        }
-        error_code ignored;
-        acceptor_.close(ignored);
+        return workers_[turn_++ % workers_.size()].context();
     }
 
+    void serve(tcp::socket accepted)
+    {
+        worker& chosen = worker_of(accepted);
+        auto session = std::make_shared<caller_session>(
+            std::move(accepted),
+            session_shared{control_, chosen.pool(), chosen.sessions(), busy_,
+                           open_});
+        asio::co_spawn(
+            chosen.context(), [session] { return session->run(); },
+            asio::detached);
+    }
+
+    [[nodiscard]] std::size_t connections() const { return open_.load(); }
+
+    void make_room() {}
+
     void end_idle_connections()
     {
         for (worker& each : workers_)
@@ -110,44 +116,15 @@
             each.stop();
     }
 
-    [[nodiscard]] std::uint16_t port() const
-    {
-        return acceptor_.local_endpoint().port();
-    }
+    [[nodiscard]] std::uint16_t port() const { return listener_->port(); }
     [[nodiscard]] std::size_t busy() const { return busy_.load(); }
-    [[nodiscard]] std::size_t open() const { return open_.load(); }
 
   private:
-    worker& next_worker() { return workers_[turn_++ % workers_.size()]; }
-
-    void serve(worker& chosen, tcp::socket socket)
-    {
-        auto session = std::make_shared<caller_session>(
-            std::move(socket), session_shared{control_, chosen.pool(),
-                                              chosen.sessions(), busy_, open_});
-        asio::co_spawn(
-            chosen.context(), [session] { return session->run(); },
-            asio::detached);
-    }
-
-    asio::awaitable<void> accept_loop()
+    worker& worker_of(tcp::socket& accepted)
     {
-        for (;;)
-        {
-            worker& chosen = next_worker();
-            auto [error, socket] =
-                co_await acceptor_.async_accept(chosen.context(), as_result);
-            const bool closed = error == asio::error::operation_aborted ||
-                                error == asio::error::bad_descriptor;
-            if (closed)
-                co_return;
-            if (error)
-            {
-                co_await wait_after_failed_accept();
-                continue;
-            }
-            serve(chosen, std::move(socket));
-        }
+        const auto& context = accepted.get_executor().context();
+        return *std::ranges::find_if(workers_, [&](worker& each)
+                                     { return &each.context() == &context; });
     }
 
     control_plane& control_;
@@ -155,7 +132,7 @@
     std::atomic<std::size_t> busy_{0};
     std::atomic<std::size_t> open_{0};
     std::vector<worker> workers_;
-    tcp::acceptor acceptor_;
+    std::shared_ptr<listener<impl>> listener_;
 };
 
 caller_server::caller_server(control_plane& control)
@@ -200,7 +177,7 @@
 
 std::size_t caller_server::open() const
 {
-    return impl_->open();
+    return impl_->connections();
 }
 
 } // namespace sycamorelock::adapters
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -3,8 +3,8 @@
 
 #include "request_session.hpp"
 
-#include "../accept_pause.hpp"
 #include "../drain_limits.hpp"
+#include "../listener.hpp"
 #include "../prometheus_text.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
@@ -61,7 +61,7 @@
           router_(router_options_of(settings, seed)),
           context_{io_, router_,  channels_, limits_,  metrics_,
                    log, dialect_, leaving_,  crowded_, news_},
-          acceptor_(io_), timer_(io_), accept_timer_(io_),
+          timer_(io_),
           crowded_at_(part_of(settings.max_descriptors, crowded_part)),
           full_at_(part_of(settings.max_descriptors, full_part))
     {
@@ -69,14 +69,12 @@
 
     void start()
     {
-        acceptor_.open(address_.protocol());
-        acceptor_.set_option(tcp::acceptor::reuse_address(true));
-        acceptor_.bind(address_);
-        acceptor_.listen(accept_backlog);
-        acceptor_.non_blocking(true);
-        // Accepted sockets inherit it, which saves a call for each.
-        acceptor_.set_option(tcp::no_delay(true));
-        accept();
+        listener_ = std::make_shared<listener<impl>>(
+            io_, address_, *this,
+            listener_limits{accept_backlog, accepts_a_turn},
+            accept_report(&context_.log, direct_accept_events,
+                          listener_metrics_));
+        listener_->start();
         timer_.expires_after(tick_period);
         wait_for_tick();
     }
@@ -85,15 +83,38 @@
 
     void close(std::function<void()> on_idle)
     {
-        // The kernel resets connections that it has taken and that are not
-        // accepted when the listener closes.
-        accept_waiting(accept_backlog);
-        error_code ignored;
-        acceptor_.close(ignored);
+        listener_->close();
         on_idle_ = std::move(on_idle);
         end_idle_sessions();
     }
 
+    asio::io_context& next_context() { return io_; }
+
+    void serve(tcp::socket socket)
+    {
+        auto session = std::make_shared<request_session>(
+            std::move(socket), context_,
+            [this](request_session* ended) { sessions_.erase(ended); });
+        sessions_.insert(session.get());
+        crowded_ = sessions_.size() > crowded_at_;
+        asio::co_spawn(
+            io_, [session] { return session->run(); }, asio::detached);
+    }
+
+    [[nodiscard]] std::size_t connections() const { return sessions_.size(); }
+
+    void make_room()
+    {
+        // Sessions end and leave the set, but not at once.
+        for (request_session* session : sessions_)
+            session->end_if_idle_since(now() - resting);
+    }
+
+    [[nodiscard]] const listener_metrics& metrics() const
+    {
+        return listener_metrics_;
+    }
+
     [[nodiscard]] core::direct::router& router() { return router_; }
     [[nodiscard]] boost::asio::io_context& io() { return io_; }
     [[nodiscard]] event_log& log() { return context_.log; }
@@ -147,61 +168,6 @@
         return options;
     }
 
-    void accept()
-    {
-        acceptor_.async_accept(
-            [self = shared_from_this()](error_code error, tcp::socket socket)
-            {
-                // One may have been accepted before the listener closed.
-                if (!error)
-                    self->open(std::move(socket));
-                if (!self->acceptor_.is_open())
-                    return;
-                if (error)
-                {
-                    self->accept_later(error);
-                    return;
-                }
-                self->accept_waiting(accepts_a_turn - 1);
-                self->accept();
-            });
-    }
-
-    void accept_waiting(int most)
-    {
-        for (int i = 0; i < most; ++i)
-        {
-            error_code error;
-            tcp::socket socket(io_);
-            acceptor_.accept(socket, error);
-            if (error)
-                return;
-            open(std::move(socket));
-        }
-    }
-
-    void accept_later(error_code why)
-    {
-        context_.log.write(direct_event::accept_failed,
-                           {{"error", why.message()},
-                            {"connections", std::to_string(sessions_.size())}});
-        close_resting();
-        accept_timer_.expires_after(accept_pause);
-        accept_timer_.async_wait(
-            [self = shared_from_this()](error_code error)
-            {
-                if (!error && self->acceptor_.is_open())
-                    self->accept();
-            });
-    }
-
-    void close_resting()
-    {
-        // Sessions end and leave the set, but not at once.
-        for (request_session* session : sessions_)
-            session->end_if_idle_since(now() - resting);
-    }
-
     void end_idle_sessions()
     {
         for (request_session* session : sessions_)
@@ -215,17 +181,6 @@
                                         part);
     }
 
-    void open(tcp::socket socket)
-    {
-        auto session = std::make_shared<request_session>(
-            std::move(socket), context_,
-            [this](request_session* ended) { sessions_.erase(ended); });
-        sessions_.insert(session.get());
-        crowded_ = sessions_.size() > crowded_at_;
-        asio::co_spawn(
-            io_, [session] { return session->run(); }, asio::detached);
-    }
-
     void wait_for_tick()
     {
         timer_.async_wait(
@@ -259,7 +214,7 @@
         limits_.tick(at);
         crowded_ = sessions_.size() > crowded_at_;
         if (sessions_.size() > full_at_)
-            close_resting();
+            make_room();
         if (at >= next_report_ || router_.report_is_urgent())
         {
             next_report_ = at + (router_.large_fleet() ? large_report_period
@@ -298,9 +253,9 @@
     bool crowded_ = false;
     news_age news_;
     traffic_context context_;
-    tcp::acceptor acceptor_;
+    listener_metrics listener_metrics_{"caller"};
+    std::shared_ptr<listener<impl>> listener_;
     asio::steady_timer timer_;
-    asio::steady_timer accept_timer_;
     core::direct::tick_delay delay_{tick_period};
     std::size_t crowded_at_;
     std::size_t full_at_;
@@ -431,6 +386,11 @@
                { impl->close(on_idle); });
 }
 
+const listener_metrics& traffic_plane::callers() const
+{
+    return impl_->metrics();
+}
+
 void traffic_plane::describe(std::function<void(std::string)> done)
 {
     asio::post(impl_->io(), [impl = impl_, done = std::move(done)]
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -38,6 +38,8 @@
                "The process ends; nothing it accepted is open."},
     event_kind{1005, error, "start_failed",
                "The process cannot start; the field says why."},
+    event_kind{1006, error, "failed",
+               "An unexpected error ends the process; the field names it."},
     event_kind{1101, info, "config_installed",
                "A newer configuration is in force."},
     event_kind{
@@ -54,6 +56,11 @@
     event_kind{1202, info, "peer_connection_unreadable",
                "What arrives on another instance's connection cannot be read; "
                "that connection is closed."},
+    event_kind{1203, warn, "accept_failed",
+               "Connections cannot be accepted, as when no descriptor is free; "
+               "they wait."},
+    event_kind{1204, info, "accept_recovered",
+               "No accept has failed for a second; fields tell how many had."},
     event_kind{1301, debug, "bad_request",
                "A caller sent something that is not a request."},
     event_kind{
@@ -166,11 +173,13 @@
                "More lines of one kind came in a second than are written; the "
                "counters have them all."},
     event_kind{3403, warn, "accept_failed",
-               "A connection could not be accepted; those that rest are "
-               "closed."},
+               "Connections cannot be accepted, as when no descriptor is free; "
+               "those of callers that rest are closed."},
     event_kind{3404, warn, "traffic_late",
                "Requests wait long before they are read, so the instance says "
                "that it is not ready; or no longer."},
+    event_kind{3405, info, "accept_recovered",
+               "No accept has failed for a second; fields tell how many had."},
     event_kind{3501, info, "settings_reloaded",
                "The settings file was read again and is in force."},
     event_kind{3502, warn, "settings_refused",
--- a/packages/adapters/lib/report.cpp
+++ b/packages/adapters/lib/report.cpp
@@ -141,6 +141,7 @@
     single(out, "endpoint_connects_total", "counter",
            "Connections opened to endpoints.",
            number(traffic.endpoint_connects));
+    print(out, {&traffic.callers, &traffic.operators});
     single(out, "control_cpu_seconds_total", "counter",
            "Processor time of the control thread.", control.cpu_seconds());
     single(out, "process_cpu_seconds_total", "counter",
--- /dev/null
+++ b/packages/adapters/unittests/descriptor_shortage_test.cpp
@@ -0,0 +1,113 @@
+// Listeners of a scheduling instance when descriptors are short.
+#include "sycamorelock/adapters/caller_server.hpp"
+#include "sycamorelock/adapters/operator_server.hpp"
+
+#include "descriptor_shortage.hpp"
+#include "own_ip.hpp"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <thread>
+
+using namespace sycamorelock;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+settings::process_settings settings_of_test()
+{
+    settings::process_settings made;
+    made.name = "a1";
+    made.domain = "a";
+    made.address = own_ip(1);
+    made.log_level = "error";
+    made.max_body_bytes = 1024;
+    made.header_timeout = std::chrono::seconds(10);
+    made.idle_timeout = std::chrono::seconds(60);
+    made.write_timeout = std::chrono::seconds(30);
+    made.endpoint_timeout = std::chrono::seconds(60);
+    return made;
+}
+
+/// A control plane that hears of nobody.
+struct lone_instance
+{
+    settings::process_settings settings = settings_of_test();
+    adapters::event_log log{"a1", "error"};
+    asio::io_context io{1};
+    adapters::traffic_metrics traffic;
+    adapters::control_plane control{settings, io, log, traffic};
+};
+
+tcp::endpoint address_of(std::uint16_t port)
+{
+    return {asio::ip::make_address(own_ip(1)), port};
+}
+
+/// A listener whose caller waits while no descriptor is free: processor time of
+/// one second, and the answer to the caller once there are descriptors.
+struct outcome
+{
+    double processor_seconds = 0;
+    std::string status;
+};
+
+outcome play_shortage(asio::io_context& io, std::uint16_t port,
+                      const std::string& path)
+{
+    outcome seen;
+    asio::io_context callers;
+    tcp::socket caller(callers);
+    caller.connect(address_of(port));
+    {
+        const descriptor_shortage none_left;
+        const double before = processor_seconds();
+        io.run_for(milliseconds(1000));
+        seen.processor_seconds = processor_seconds() - before;
+    }
+    std::thread serving([&io] { io.run_for(milliseconds(500)); });
+    seen.status = status_line(caller, path);
+    serving.join();
+    return seen;
+}
+
+} // namespace
+
+Test(operator_server, without_descriptors_it_waits, .timeout = 20)
+{
+    lone_instance self;
+    adapters::operator_server server(self.control, [] {});
+    const outcome seen = play_shortage(self.io, server.port(), "/healthz");
+    cr_expect_lt(seen.processor_seconds, 0.1, "%f s of processor time",
+                 seen.processor_seconds);
+    cr_expect(seen.status.starts_with("HTTP/1.1 200"), "%s",
+              seen.status.c_str());
+}
+
+// One that has served callers before, so that its threads have what they need.
+Test(caller_server, a_later_shortage_is_waited_for, .timeout = 20)
+{
+    lone_instance self;
+    adapters::caller_server server(self.control);
+    server.start();
+    for (int i = 0; i < 2; ++i)
+    {
+        asio::io_context callers;
+        tcp::socket caller(callers);
+        caller.connect(address_of(server.port()));
+        std::thread serving([&self] { self.io.run_for(milliseconds(300)); });
+        cr_expect(status_line(caller, "/ready").starts_with("HTTP/1.1 503"));
+        serving.join();
+    }
+    const outcome seen = play_shortage(self.io, server.port(), "/ready");
+    cr_expect_lt(seen.processor_seconds, 0.1, "%f s of processor time",
+                 seen.processor_seconds);
+    cr_expect(seen.status.starts_with("HTTP/1.1 503"), "%s",
+              seen.status.c_str());
+}
--- a/packages/daemon/lib/daemon.cpp
+++ b/packages/daemon/lib/daemon.cpp
@@ -90,6 +90,7 @@
     boost::asio::io_context context(1);
     adapters::traffic_metrics traffic;
     adapters::control_plane control(settings, context, log, traffic);
+    auto at_error = adapters::process_event::start_failed;
     try
     {
         adapters::caller_server callers(control);
@@ -110,14 +111,14 @@
                   {{"caller_port", std::to_string(callers.port())},
                    {"operator_port", std::to_string(operators.port())},
                    {"peer_port", std::to_string(settings.peer_port)}});
+        at_error = adapters::process_event::failed;
         context.run();
         callers.stop();
         control.stop();
     }
     catch (const std::exception& error)
     {
-        log.write(adapters::process_event::start_failed,
-                  {{"error", error.what()}});
+        log.write(at_error, {{"error", error.what()}});
         return 1;
     }
     return 0;
--- a/packages/daemon/lib/direct_daemon.cpp
+++ b/packages/daemon/lib/direct_daemon.cpp
@@ -27,6 +27,7 @@
 using adapters::process_event;
 using adapters::direct::page;
 using adapters::direct::page_server;
+using adapters::direct::page_server_options;
 using boost::system::error_code;
 
 /// Left of the time for a graceful shutdown when what is still open is cut.
@@ -95,11 +96,13 @@
         readiness_.emplace(
             control_io_, settings_.ready_address,
             [this](const std::string& path, const page_server::reply& done)
-            { done(readiness(path)); });
+            { done(readiness(path)); },
+            page_server_options{"ready", &log_});
         operators_.emplace(
             control_io_, settings_.metrics_address,
             [this](const std::string& path, const page_server::reply& done)
-            { describe(path, done); });
+            { describe(path, done); },
+            page_server_options{"metrics", &log_});
         traffic_.start();
         control_.start();
         wait_for_signal();
@@ -131,11 +134,19 @@
             {
                 boost::asio::post(control_io_,
                                   [this, done, text = std::move(text)] {
-                                      done({ok, text + control_.status()});
+                                      done({ok, text + status()});
                                   });
             });
     }
 
+    std::string status() const
+    {
+        std::string out = control_.status();
+        adapters::print(out, {&traffic_.callers(), &readiness_->metrics(),
+                              &operators_->metrics()});
+        return out;
+    }
+
     void wait_for_signal()
     {
         signals_.async_wait(
--- /dev/null
+++ b/test/integration/descriptors_test.cpp
@@ -0,0 +1,242 @@
+// Instances whose descriptors run out: new connections wait, nothing ends.
+#include "direct_fleet.hpp"
+#include "fleet.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <thread>
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+using namespace standin;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+/// While it lives, a running process gets no further descriptors.
+class shortage_of
+{
+  public:
+    explicit shortage_of(pid_t process) : process_(process)
+    {
+        prlimit(process_, RLIMIT_NOFILE, nullptr, &old_);
+        const rlimit short_of{first_free(), old_.rlim_max};
+        prlimit(process_, RLIMIT_NOFILE, &short_of, nullptr);
+    }
+    ~shortage_of() { prlimit(process_, RLIMIT_NOFILE, &old_, nullptr); }
+    shortage_of(const shortage_of&) = delete;
+    shortage_of& operator=(const shortage_of&) = delete;
+
+  private:
+    [[nodiscard]] rlim_t first_free() const
+    {
+        const std::string folder = "/proc/" + std::to_string(process_) + "/fd/";
+        rlim_t number = 0;
+        while (std::filesystem::exists(
+            std::filesystem::symlink_status(folder + std::to_string(number))))
+            ++number;
+        return number;
+    }
+
+    pid_t process_;
+    rlimit old_{};
+};
+
+/// Processes that are started while it lives may have this many descriptors.
+class started_with
+{
+  public:
+    explicit started_with(rlim_t descriptors)
+    {
+        getrlimit(RLIMIT_NOFILE, &old_);
+        const rlimit lower{descriptors, old_.rlim_max};
+        setrlimit(RLIMIT_NOFILE, &lower);
+    }
+    ~started_with() { setrlimit(RLIMIT_NOFILE, &old_); }
+    started_with(const started_with&) = delete;
+    started_with& operator=(const started_with&) = delete;
+
+  private:
+    rlimit old_{};
+};
+
+/// Connections that say nothing.
+class silent_connections
+{
+  public:
+    silent_connections(const std::string& to, std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            held_.emplace_back(io_);
+            error_code ignored;
+            held_.back().connect(endpoint_of(to), ignored);
+        }
+    }
+    void close() { held_.clear(); }
+
+  private:
+    asio::io_context io_;
+    std::vector<tcp::socket> held_;
+};
+
+/// Status of the answer to a GET request; 0 if none came in time.
+unsigned status_of(const std::string& address, const std::string& path,
+                   milliseconds limit)
+{
+    asio::io_context io;
+    unsigned status = 0;
+    asio::co_spawn(
+        io,
+        [&]() -> asio::awaitable<void>
+        {
+            beast::tcp_stream stream(io);
+            stream.expires_after(limit);
+            auto [unconnected] =
+                co_await stream.async_connect(endpoint_of(address), as_result);
+            if (unconnected)
+                co_return;
+            http::request<http::empty_body> asked(http::verb::get, path, 11);
+            asked.set(http::field::host, "h");
+            auto [unsent, sent] =
+                co_await http::async_write(stream, asked, as_result);
+            beast::flat_buffer buffer;
+            http::response<http::string_body> got;
+            auto [unread, read] =
+                co_await http::async_read(stream, buffer, got, as_result);
+            if (!unsent && !unread)
+                status = got.result_int();
+        },
+        asio::detached);
+    io.run();
+    return status;
+}
+
+/// Seconds of processor time that a process has used.
+double processor_seconds_of(pid_t process)
+{
+    std::ifstream in("/proc/" + std::to_string(process) + "/stat");
+    std::string text;
+    std::getline(in, text);
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    std::string skipped;
+    for (int i = 0; i < 11; ++i)
+        fields >> skipped;
+    double user = 0;
+    double system = 0;
+    fields >> user >> system;
+    return (user + system) / double(sysconf(_SC_CLK_TCK));
+}
+
+/// Lines of one event at one listener.
+std::size_t lines_of(const std::string& log, const std::string& event,
+                     const std::string& listener)
+{
+    std::istringstream lines(log);
+    std::string line;
+    std::size_t count = 0;
+    while (std::getline(lines, line))
+    {
+        const bool counts =
+            line.find("\"name\":\"" + event + '"') != std::string::npos &&
+            line.find("\"listener\":\"" + listener + '"') != std::string::npos;
+        count += counts ? 1 : 0;
+    }
+    return count;
+}
+
+fleet_plan one_instance()
+{
+    fleet_plan plan;
+    plan.domains = {"a"};
+    plan.instances_per_domain = 1;
+    plan.services = {{.name = "planner"}, {.name = "desk", .kind = "plain"}};
+    return plan;
+}
+
+direct_plan one_direct_instance()
+{
+    direct_plan plan;
+    plan.instances = 1;
+    return plan;
+}
+
+/// Callers wait at a listener while no descriptor is free. Bounded processor
+/// time, two lines in the log, and an answer once there are descriptors.
+void check_shortage(pid_t process, const std::string& address,
+                    const std::string& path, const std::string& listener,
+                    const std::function<std::string()>& log)
+{
+    {
+        silent_connections waiting(address, 20);
+        const shortage_of none_left(process);
+        // The one that was being accepted may have taken the last descriptor.
+        silent_connections more(address, 20);
+        const double before = processor_seconds_of(process);
+        std::this_thread::sleep_for(seconds(2));
+        const double used = processor_seconds_of(process) - before;
+        cr_expect_lt(used, 0.2, "%s: %f s of processor time in 2 s",
+                     listener.c_str(), used);
+    }
+    cr_expect_neq(status_of(address, path, seconds(4)), 0U, "%s",
+                  listener.c_str());
+    cr_expect(
+        eventually(
+            [&] { return lines_of(log(), "accept_recovered", listener) == 1; },
+            seconds(3)),
+        "%s: %zu lines", listener.c_str(),
+        lines_of(log(), "accept_recovered", listener));
+    cr_expect_eq(lines_of(log(), "accept_failed", listener), 1U,
+                 "%s: %zu lines", listener.c_str(),
+                 lines_of(log(), "accept_failed", listener));
+}
+
+} // namespace
+
+Test(descriptors, scheduling_listeners_wait_and_tell, .timeout = 60)
+{
+    fleet running(one_instance());
+    const instance& only = running.at(0);
+    const auto log = [&] { return text_of(only.log_file); };
+    check_shortage(only.pid, only.caller_address(), "/ready", "caller", log);
+    check_shortage(only.pid, only.operator_address(), "/ready", "operator",
+                   log);
+    const std::string page = running.operator_get(only, "/metrics");
+    for (const char* listener : {"caller", "operator"})
+        cr_expect(page.find("sycamorelock_accept_failures_total{listener=\"" +
+                            std::string(listener) + "\"} 0\n") ==
+                      std::string::npos &&
+                  page.find("sycamorelock_accept_failures_total{listener=\"" +
+                            std::string(listener)) != std::string::npos);
+}
+
+Test(descriptors, direct_listeners_wait_and_tell, .timeout = 60)
+{
+    direct_fleet running(one_direct_instance());
+    const direct_instance& only = running.at(0);
+    const auto log = [&] { return running.log_of(only); };
+    check_shortage(only.pid, only.ready_address(), "/v1/readyz", "ready", log);
+    check_shortage(only.pid, only.metrics_address(), "/metrics", "metrics",
+                   log);
+    check_shortage(only.pid, only.caller_address(), "/v1/readyz", "caller",
+                   log);
+    const std::string page = running.page(only.metrics_address(), "/metrics");
+    for (const char* listener : {"caller", "ready", "metrics"})
+        cr_expect(page.find("sycamorelock_accept_failures_total{listener=\"" +
+                            std::string(listener) + "\"} 0\n") ==
+                      std::string::npos &&
+                  page.find("sycamorelock_accept_failures_total{listener=\"" +
+                            std::string(listener)) != std::string::npos);
+}
