Traffic threads open their reactor at the start

Cause: an io_context opens epoll and eventfd for its first timer or socket; for a traffic thread that was its first caller's. The exception leaves the control thread's run. Evidence: the log of a real process has accept_failed, then 21 ms later the second thread's eventfd_select_interrupter and the end.

A timer of each traffic thread opens its reactor at the start, where a failure says so. Why not catch it: a thread without a reactor serves nobody.

--- a/packages/adapters/lib/caller_server.cpp
+++ b/packages/adapters/lib/caller_server.cpp
@@ -18,7 +18,9 @@
 class worker
 {
   public:
-    worker() : guard_(asio::make_work_guard(context_)) {}
+    worker() : guard_(asio::make_work_guard(context_)), reactor_user_(context_)
+    {
+    }
 
     void start()
     {
@@ -50,6 +52,9 @@
     // The pool's sockets belong to the context and go first.
     asio::io_context context_{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard_;
+    // An io_context opens its reactor for its first timer or socket, and throws
+    // if there is no descriptor for it. That must not be a caller's socket.
+    asio::steady_timer reactor_user_;
     connection_pool pool_;
     std::thread thread_;
 };
--- a/packages/adapters/unittests/descriptor_shortage_test.cpp
+++ b/packages/adapters/unittests/descriptor_shortage_test.cpp
@@ -79,6 +79,18 @@
 
 } // namespace
 
+Test(caller_server, without_descriptors_it_waits, .timeout = 20)
+{
+    lone_instance self;
+    adapters::caller_server server(self.control);
+    server.start();
+    const outcome seen = play_shortage(self.io, server.port(), "/ready");
+    cr_expect_lt(seen.processor_seconds, 0.1, "%f s of processor time",
+                 seen.processor_seconds);
+    cr_expect(seen.status.starts_with("HTTP/1.1 503"), "%s",
+              seen.status.c_str());
+}
+
 Test(operator_server, without_descriptors_it_waits, .timeout = 20)
 {
     lone_instance self;
--- a/test/integration/descriptors_test.cpp
+++ b/test/integration/descriptors_test.cpp
@@ -205,6 +205,22 @@
 
 } // namespace
 
+Test(descriptors, a_fresh_instance_outlives_a_shortage, .timeout = 60)
+{
+    fleet running(one_instance());
+    instance& only = running.at(0);
+    {
+        const shortage_of none_left(only.pid);
+        const silent_connections waiting(only.caller_address(), 3);
+        std::this_thread::sleep_for(milliseconds(500));
+    }
+    int status = 0;
+    const bool ended = running.wait_exit(only, seconds(1), &status);
+    cr_assert(!ended, "ended with %d: %s", status,
+              text_of(only.log_file).c_str());
+    cr_expect(ask_now(running.make_call(0, "north", "desk")).completed());
+}
+
 Test(descriptors, scheduling_listeners_wait_and_tell, .timeout = 60)
 {
     fleet running(one_instance());
