One bound for each listener; what rests makes room for what comes

Cause: no listener but the callers' of direct routing had a bound, and a resting connection holds its descriptor for 30 s (pages) or 60 s (callers).

Now each listener has a bound: pages 64, or a sixteenth of the descriptors if that is less, callers four fifths. At the bound, or without descriptors, a page listener closes the connection that has waited longest for its reader, and the callers' listeners end those that have rested for 300 ms, as direct routing did. closed_for_room_total counts them.

--- /dev/null
+++ b/packages/adapters/include/sycamorelock/adapters/descriptor_limits.hpp
@@ -0,0 +1,28 @@
+// Shares of a process's descriptors that its listeners may take.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+
+namespace sycamorelock::adapters
+{
+
+/// Descriptors that this process may have open.
+std::size_t descriptor_limit();
+
+/// Connections of callers at the most. The other descriptors are for endpoints,
+/// instances, pages and files.
+constexpr std::size_t caller_connections(std::size_t descriptors)
+{
+    return descriptors / 5 * 4;
+}
+
+/// Connections of readers of pages at the most, at one listener.
+constexpr std::size_t page_connections(std::size_t descriptors)
+{
+    constexpr std::size_t enough = 64;
+    constexpr std::size_t part = 16;
+    return std::clamp<std::size_t>(descriptors / part, 1, enough);
+}
+
+} // namespace sycamorelock::adapters
--- a/packages/adapters/include/sycamorelock/adapters/direct/page_server.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/page_server.hpp
@@ -26,6 +26,9 @@
     const char* name = "pages";
     /// Told of accepts that fail. May be missing.
     event_log* log = nullptr;
+    /// Connections that may be open at once; beyond them, one without a request
+    /// ends for each that comes.
+    std::size_t most_connections = 64;
 };
 
 /// Serves GET requests on one address, on the thread of the io_context.
--- a/packages/adapters/include/sycamorelock/adapters/listener_metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/listener_metrics.hpp
@@ -14,8 +14,10 @@
 {
     /// Value of the label `listener`.
     const char* name;
-    /// Attempts to accept that failed, as when no descriptor is free.
+    /// Times that a connection could not be accepted.
     std::atomic<std::uint64_t> accept_failures{0};
+    /// Connections without a request that were closed for want of room.
+    std::atomic<std::uint64_t> closed_for_room{0};
 };
 
 /// Appends the counters of an instance's listeners.
--- a/packages/adapters/lib/accept_report.cpp
+++ b/packages/adapters/lib/accept_report.cpp
@@ -9,7 +9,7 @@
 {
 }
 
-void accept_report::failed(core::time_point at, error_code why,
+void accept_report::failed(core::time_point at, const std::string& why,
                            std::size_t connections)
 {
     const std::uint64_t before = metrics_.accept_failures++;
@@ -21,7 +21,7 @@
     if (log_ != nullptr)
         log_->write(numbers_.failed,
                     {{"listener", metrics_.name},
-                     {"error", why.message()},
+                     {"error", why},
                      {"connections", std::to_string(connections)}});
 }
 
--- a/packages/adapters/lib/accept_report.hpp
+++ b/packages/adapters/lib/accept_report.hpp
@@ -26,7 +26,8 @@
     accept_report(event_log* log, events numbers, listener_metrics& metrics);
 
     /// \param connections open at the listener.
-    void failed(core::time_point at, error_code why, std::size_t connections);
+    void failed(core::time_point at, const std::string& why,
+                std::size_t connections);
     /// No accept has failed for a while.
     void recovered(core::time_point at);
 
--- a/packages/adapters/lib/caller_server.cpp
+++ b/packages/adapters/lib/caller_server.cpp
@@ -2,8 +2,11 @@
 #include "sycamorelock/adapters/caller_server.hpp"
 
 #include "caller_session.hpp"
+#include "drain_limits.hpp"
 #include "listener.hpp"
 
+#include "sycamorelock/adapters/descriptor_limits.hpp"
+
 #include <boost/asio/executor_work_guard.hpp>
 
 #include <algorithm>
@@ -46,6 +49,18 @@
                    });
     }
 
+    void end_resting_connections(listener_metrics& metrics)
+    {
+        asio::post(context_,
+                   [this, &metrics]
+                   {
+                       const core::time_point latest = now() - resting;
+                       for (caller_session* session : sessions_)
+                           metrics.closed_for_room +=
+                               session->end_if_idle_since(latest) ? 1 : 0;
+                   });
+    }
+
   private:
     // Sessions that the context still holds take themselves off the list.
     std::unordered_set<caller_session*> sessions_;
@@ -70,7 +85,7 @@
               control.context(),
               tcp::endpoint(asio::ip::make_address(control.settings().address),
                             control.settings().caller_port),
-              *this, listener_limits{},
+              *this, listener_limits{caller_connections(descriptor_limit())},
               accept_report(&control.log(), scheduled_accept_events,
                             control.traffic().callers)))
     {
@@ -107,7 +122,12 @@
 
     [[nodiscard]] std::size_t connections() const { return open_.load(); }
 
-    void make_room() {}
+    bool make_room()
+    {
+        for (worker& each : workers_)
+            each.end_resting_connections(control_.traffic().callers);
+        return false;
+    }
 
     void end_idle_connections()
     {
--- a/packages/adapters/lib/caller_session.cpp
+++ b/packages/adapters/lib/caller_session.cpp
@@ -134,8 +134,20 @@
 {
     const bool just_connected =
         first_request_ && now() - opened_at_ < first_request_patience;
-    if (busy_ || just_connected)
-        return;
+    if (!busy_ && !just_connected)
+        end_waiting();
+}
+
+bool caller_session::end_if_idle_since(core::time_point latest)
+{
+    if (busy_ || ending_ || idle_since_ > latest)
+        return false;
+    end_waiting();
+    return true;
+}
+
+void caller_session::end_waiting()
+{
     // Closing would lose a request that has been received and not read yet.
     ending_ = true;
     stream_.cancel();
@@ -147,6 +159,7 @@
     {
         if (ending_ && look_at(stream_.socket()) != socket_state::readable)
             co_return false;
+        idle_since_ = now();
         // Idling between requests is not being slow within one.
         stream_.expires_after(shared_.control.settings().idle_timeout);
         auto [error, bytes] = co_await stream_.async_read_some(
--- a/packages/adapters/lib/caller_session.hpp
+++ b/packages/adapters/lib/caller_session.hpp
@@ -40,6 +40,9 @@
     /// arrived already is served before, and a caller that has just connected
     /// may still send its first one.
     void end_if_idle();
+    /// Ends it if no request has come since a moment. Returns whether it ends
+    /// for that reason.
+    bool end_if_idle_since(core::time_point latest);
 
     void deliver(decision what) override;
     [[nodiscard]] asio::any_io_executor executor() override;
@@ -66,6 +69,7 @@
                                          const std::string& detail);
     asio::awaitable<bool> write(http::response<http::string_body> answer);
     void caller_gone();
+    void end_waiting();
 
     beast::tcp_stream stream_;
     session_shared shared_;
@@ -83,6 +87,7 @@
     bool busy_ = false;
     bool first_request_ = true;
     core::time_point opened_at_;
+    core::time_point idle_since_ = core::time_point::max();
 };
 
 } // namespace sycamorelock::adapters
--- a/packages/adapters/lib/direct/page_server.cpp
+++ b/packages/adapters/lib/direct/page_server.cpp
@@ -21,9 +21,8 @@
   public:
     impl(boost::asio::io_context& io, const std::string& address,
          handler handle, const page_server_options& options)
-        : page_listener(
-              io, parse_address(address),
-              accept_report(options.log, direct_accept_events, metrics_)),
+        : page_listener(io, parse_address(address), options.most_connections,
+                        options.log, direct_accept_events, metrics_),
           io_(io), handle_(std::move(handle)), metrics_{options.name}
     {
     }
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -72,10 +72,12 @@
     ended_(this);
 }
 
-void request_session::end_if_idle_since(core::time_point latest)
+bool request_session::end_if_idle_since(core::time_point latest)
 {
-    if (idle_since_ <= latest)
-        end_if_idle();
+    if (busy_ || ending_ || idle_since_ > latest)
+        return false;
+    end_if_idle();
+    return true;
 }
 
 void request_session::end_if_idle_and_opened_before(core::time_point latest)
--- a/packages/adapters/lib/direct/request_session.hpp
+++ b/packages/adapters/lib/direct/request_session.hpp
@@ -20,8 +20,9 @@
     /// Ends the connection if it is between two requests. A request that has
     /// arrived already is served before.
     void end_if_idle();
-    /// The same if no request has come since a moment.
-    void end_if_idle_since(core::time_point latest);
+    /// Ends it if no request has come since a moment. Returns whether it ends
+    /// for that reason.
+    bool end_if_idle_since(core::time_point latest);
     /// The same, but a caller that connected after a moment may still send its
     /// first request.
     void end_if_idle_and_opened_before(core::time_point latest);
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -8,6 +8,7 @@
 #include "../prometheus_text.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
+#include "sycamorelock/adapters/descriptor_limits.hpp"
 #include "sycamorelock/core/direct/tick_delay.hpp"
 
 #include <boost/asio/post.hpp>
@@ -34,10 +35,6 @@
 /// Connections that wait to be accepted. Callers wait a second for one; a
 /// longer queue holds those that have already given up.
 constexpr int accept_backlog = 256;
-/// Connections accepted in one turn of the event loop. With one a turn, an
-/// instance with hundreds of busy connections took a few new ones a second,
-/// all of which had given up by then.
-constexpr int accepts_a_turn = 64;
 /// Parts of the descriptors that callers' connections may take: from the first
 /// on, answers end their connection; beyond the second, connections that rest
 /// are closed. The others are for endpoints, instances, the store and files.
@@ -45,8 +42,6 @@
 /// and an instance that runs out of descriptors takes no caller at all.
 constexpr double crowded_part = 0.45;
 constexpr double full_part = 0.6;
-/// A connection that rested this long is closed first.
-constexpr core::duration resting = milliseconds(300);
 
 } // namespace
 
@@ -63,7 +58,8 @@
                    log, dialect_, leaving_,  crowded_, news_},
           timer_(io_),
           crowded_at_(part_of(settings.max_descriptors, crowded_part)),
-          full_at_(part_of(settings.max_descriptors, full_part))
+          full_at_(part_of(settings.max_descriptors, full_part)),
+          most_connections_(caller_connections(settings.max_descriptors))
     {
     }
 
@@ -71,7 +67,7 @@
     {
         listener_ = std::make_shared<listener<impl>>(
             io_, address_, *this,
-            listener_limits{accept_backlog, accepts_a_turn},
+            listener_limits{most_connections_, accept_backlog},
             accept_report(&context_.log, direct_accept_events,
                           listener_metrics_));
         listener_->start();
@@ -103,11 +99,13 @@
 
     [[nodiscard]] std::size_t connections() const { return sessions_.size(); }
 
-    void make_room()
+    bool make_room()
     {
         // Sessions end and leave the set, but not at once.
         for (request_session* session : sessions_)
-            session->end_if_idle_since(now() - resting);
+            listener_metrics_.closed_for_room +=
+                session->end_if_idle_since(now() - resting) ? 1 : 0;
+        return false;
     }
 
     [[nodiscard]] const listener_metrics& metrics() const
@@ -259,6 +257,7 @@
     core::direct::tick_delay delay_{tick_period};
     std::size_t crowded_at_;
     std::size_t full_at_;
+    std::size_t most_connections_;
     std::unordered_set<request_session*> sessions_;
     std::function<void()> on_idle_;
     core::time_point next_report_;
--- a/packages/adapters/lib/drain_limits.hpp
+++ b/packages/adapters/lib/drain_limits.hpp
@@ -1,4 +1,4 @@
-// Limits of the end of an instance that hold for every listener.
+// When connections of callers without a request are ended.
 #pragma once
 
 #include "sycamorelock/core/strong_types.hpp"
@@ -12,4 +12,7 @@
 inline constexpr core::duration first_request_patience =
     std::chrono::seconds(1);
 
+/// A connection without a request for this long may be ended to make room.
+inline constexpr core::duration resting = std::chrono::milliseconds(300);
+
 } // namespace sycamorelock::adapters
--- a/packages/adapters/lib/listener.hpp
+++ b/packages/adapters/lib/listener.hpp
@@ -18,6 +18,11 @@
 /// Accepts have recovered when none has failed for this long.
 inline constexpr std::chrono::seconds accept_calm{1};
 
+/// Connections accepted in one turn of the event loop. With one a turn, an
+/// instance with hundreds of busy connections took a few new ones a second, all
+/// of which had given up by then.
+inline constexpr int accepts_a_turn = 64;
+
 /// What a listener needs of the server behind it, on the listener's thread.
 template <class Server>
 concept connection_server = requires(Server& server, const Server& seen,
@@ -32,16 +37,19 @@
     {
         seen.connections()
         } -> std::same_as<std::size_t>;
-    /// Ends connections that rest, so that others find descriptors.
-    server.make_room();
+    /// Ends connections without a request, so that others find room. Returns
+    /// whether there is some at once.
+    {
+        server.make_room()
+        } -> std::same_as<bool>;
 };
 
 struct listener_limits
 {
+    /// Connections that may be open at once. Others wait.
+    std::size_t connections;
     /// Connections that the kernel keeps until they are accepted.
     int backlog = asio::socket_base::max_listen_connections;
-    /// Connections accepted in one turn of the event loop.
-    int accepts_a_turn = 1;
 };
 
 /// Accepts until it is closed. The server stops it before it ends itself.
@@ -61,12 +69,16 @@
         acceptor_.set_option(tcp::acceptor::reuse_address(true));
         // Accepted sockets inherit it, which saves a call for each.
         acceptor_.set_option(tcp::no_delay(true));
+        // Otherwise a call that must not wait does, after a connection that
+        // ended while it waited.
+        acceptor_.set_option(
+            asio::socket_base::enable_connection_aborted(true));
         acceptor_.bind(at);
         acceptor_.listen(limits_.backlog);
         acceptor_.non_blocking(true);
     }
 
-    void start() { accept(); }
+    void start() { wait_for_connection(); }
 
     /// Takes the connections that wait to be accepted, and no more of them: the
     /// kernel resets those that are not accepted when the listener closes.
@@ -74,7 +86,9 @@
     {
         if (!acceptor_.is_open())
             return;
-        accept_waiting(limits_.backlog);
+        for (int i = 0; i < limits_.backlog && !accept_one(); ++i)
+        {
+        }
         close_acceptor();
     }
 
@@ -99,51 +113,87 @@
         calm_.cancel();
     }
 
-    void accept()
+    /// Accepts only when a connection waits: the kernel looks for a descriptor
+    /// first, so without one an accept fails also when nobody waits.
+    void wait_for_connection()
     {
-        acceptor_.async_accept(
-            server_->next_context(),
-            [self = this->shared_from_this()](error_code error,
-                                              tcp::socket accepted)
-            {
-                if (self->server_ == nullptr)
-                    return;
-                // One may have been accepted before the listener closed.
-                if (!error)
-                    self->server_->serve(std::move(accepted));
-                if (!self->acceptor_.is_open())
-                    return;
-                if (error)
-                    return self->accept_later(error);
-                self->accept_waiting(self->limits_.accepts_a_turn - 1);
-                self->accept();
-            });
+        acceptor_.async_wait(tcp::acceptor::wait_read,
+                             [self = this->shared_from_this()](error_code error)
+                             {
+                                 if (self->server_ == nullptr ||
+                                     !self->acceptor_.is_open())
+                                     return;
+                                 if (error)
+                                     self->on_failure(error);
+                                 else
+                                     self->accept_waiting();
+                             });
     }
 
-    void accept_waiting(int most)
+    void accept_waiting()
     {
-        for (int i = 0; i < most; ++i)
+        for (int i = 0; i < accepts_a_turn; ++i)
         {
-            error_code error;
-            tcp::socket accepted(server_->next_context());
-            acceptor_.accept(accepted, error);
+            // Room is made only for a connection that waits.
+            if (is_full() && i > 0)
+                break;
+            if (is_full() && !server_->make_room())
+            {
+                note_failure("as many connections as allowed");
+                return accept_later();
+            }
+            const error_code error = accept_one();
+            if (error == asio::error::would_block)
+                break;
             if (error)
-                return;
-            server_->serve(std::move(accepted));
+                return on_failure(error);
+            retried_ = false;
         }
+        wait_for_connection();
     }
 
-    void accept_later(error_code why)
+    error_code accept_one()
+    {
+        error_code error;
+        tcp::socket accepted(server_->next_context());
+        acceptor_.accept(accepted, error);
+        if (!error)
+            server_->serve(std::move(accepted));
+        return error;
+    }
+
+    [[nodiscard]] bool is_full() const
+    {
+        return server_->connections() >= limits_.connections;
+    }
+
+    void on_failure(error_code why)
+    {
+        note_failure(why.message());
+        // Others may have taken what was made free, so only once.
+        const bool again = server_->make_room() && !retried_;
+        retried_ = again;
+        if (again)
+            accept_waiting();
+        else
+            accept_later();
+    }
+
+    void note_failure(const std::string& why)
     {
         report_.failed(now(), why, server_->connections());
-        server_->make_room();
         wait_for_calm();
+    }
+
+    void accept_later()
+    {
         pause_.expires_after(accept_pause);
         pause_.async_wait(
             [self = this->shared_from_this()](error_code error)
             {
-                if (!error && self->acceptor_.is_open())
-                    self->accept();
+                if (!error && self->server_ != nullptr &&
+                    self->acceptor_.is_open())
+                    self->wait_for_connection();
             });
     }
 
@@ -164,6 +214,8 @@
     tcp::acceptor acceptor_;
     asio::steady_timer pause_;
     asio::steady_timer calm_;
+    /// The last accept failed and was tried again without a pause.
+    bool retried_ = false;
 };
 
 } // namespace sycamorelock::adapters
--- a/packages/adapters/lib/operator_server.cpp
+++ b/packages/adapters/lib/operator_server.cpp
@@ -3,6 +3,8 @@
 
 #include "page_listener.hpp"
 
+#include "sycamorelock/adapters/descriptor_limits.hpp"
+
 #include "sycamorelock/adapters/report.hpp"
 
 namespace sycamorelock::adapters
@@ -36,8 +38,8 @@
               control.context(),
               tcp::endpoint(asio::ip::make_address(control.settings().address),
                             control.settings().operator_port),
-              accept_report(&control.log(), scheduled_accept_events,
-                            control.traffic().operators)),
+              page_connections(descriptor_limit()), &control.log(),
+              scheduled_accept_events, control.traffic().operators),
           control_(control), drain_(std::move(drain))
     {
     }
--- a/packages/adapters/lib/page_listener.hpp
+++ b/packages/adapters/lib/page_listener.hpp
@@ -3,8 +3,11 @@
 #pragma once
 
 #include "listener.hpp"
+#include "socket_state.hpp"
 
+#include <algorithm>
 #include <list>
+#include <tuple>
 
 namespace sycamorelock::adapters
 {
@@ -30,12 +33,17 @@
 class page_listener : public std::enable_shared_from_this<page_listener<Server>>
 {
   public:
+    /// \param most_connections that may be open at once; beyond them, one that
+    /// rests ends for each that comes.
     /// \throws boost::system::system_error if the address cannot be listened
     /// on.
     page_listener(asio::io_context& io, const tcp::endpoint& at,
-                  accept_report report)
-        : io_(io), listener_(std::make_shared<listener<page_listener>>(
-                       io, at, *this, listener_limits{}, report))
+                  std::size_t most_connections, event_log* log,
+                  accept_report::events events, listener_metrics& metrics)
+        : io_(io), metrics_(metrics),
+          listener_(std::make_shared<listener<page_listener>>(
+              io, at, *this, listener_limits{most_connections},
+              accept_report(log, events, metrics)))
     {
     }
     ~page_listener() { listener_->stop(); }
@@ -49,66 +57,128 @@
     asio::io_context& next_context() { return io_; }
     void serve(tcp::socket accepted)
     {
-        asio::co_spawn(io_, run(this->shared_from_this(), std::move(accepted)),
+        asio::co_spawn(io_,
+                       run(std::make_unique<listed>(this->shared_from_this(),
+                                                    std::move(accepted))),
                        asio::detached);
     }
-    [[nodiscard]] std::size_t connections() const { return open_.size(); }
-    void make_room() {}
+    [[nodiscard]] std::size_t connections() const
+    {
+        const auto ended = std::ranges::count_if(
+            open_, [](const connection& each) { return each.ended; });
+        return open_.size() - static_cast<std::size_t>(ended);
+    }
+    /// Ends the connection that has waited longest for its reader.
+    bool make_room()
+    {
+        connection* longest = nullptr;
+        for (connection& each : open_)
+        {
+            if (each.ended || !waits_for_reader(each))
+                continue;
+            if (longest == nullptr || is_before(each, *longest))
+                longest = &each;
+        }
+        if (longest == nullptr)
+            return false;
+        longest->ended = true;
+        longest->stream.close();
+        ++metrics_.closed_for_room;
+        return true;
+    }
 
   private:
     /// Time of one request, and of the pause before it.
     static constexpr std::chrono::seconds connection_timeout{30};
     static constexpr std::uint64_t max_request_body = 4096;
 
+    enum class phase : std::uint8_t
+    {
+        reading,
+        writing,
+        making,
+    };
+
     struct connection
     {
+        explicit connection(tcp::socket accepted) : stream(std::move(accepted))
+        {
+        }
+        void enter(phase next)
+        {
+            now_in = next;
+            since = now();
+        }
         beast::tcp_stream stream;
+        phase now_in = phase::reading;
+        core::time_point since = now();
+        bool ended = false;
     };
     using connections_list = std::list<connection>;
 
-    /// Keeps a connection in the list as long as it is served.
+    /// Keeps a connection in its listener's list, and the listener.
     class listed
     {
       public:
-        listed(connections_list& all, tcp::socket accepted)
-            : all_(all), at_(all.insert(all.end(), connection{beast::tcp_stream(
-                                                       std::move(accepted))}))
+        listed(std::shared_ptr<page_listener> owner, tcp::socket accepted)
+            : owner_(std::move(owner)),
+              at_(owner_->open_.emplace(owner_->open_.end(),
+                                        std::move(accepted)))
         {
         }
-        ~listed() { all_.erase(at_); }
+        ~listed() { owner_->open_.erase(at_); }
         listed(const listed&) = delete;
         listed& operator=(const listed&) = delete;
-        connection* operator->() { return &*at_; }
+        page_listener& owner() { return *owner_; }
+        connection& get() { return *at_; }
 
       private:
-        connections_list& all_;
+        std::shared_ptr<page_listener> owner_;
         typename connections_list::iterator at_;
     };
 
-    static asio::awaitable<void> run(std::shared_ptr<page_listener> self,
-                                     tcp::socket accepted)
+    /// Whether nothing can be done for a connection until its reader acts.
+    static bool waits_for_reader(connection& which)
+    {
+        if (which.now_in == phase::reading)
+            return look_at(which.stream.socket()) != socket_state::readable;
+        return which.now_in == phase::writing;
+    }
+
+    /// Whether a connection is to end before another.
+    static bool is_before(const connection& one, const connection& other)
+    {
+        return std::tie(one.now_in, one.since) <
+               std::tie(other.now_in, other.since);
+    }
+
+    static asio::awaitable<void> run(std::unique_ptr<listed> held)
     {
-        listed own(self->open_, std::move(accepted));
+        connection& own = held->get();
         beast::flat_buffer buffer;
         for (;;)
         {
             http::request_parser<http::string_body> parser;
             parser.body_limit(max_request_body);
-            own->stream.expires_after(connection_timeout);
-            auto [unread, read] = co_await http::async_read(own->stream, buffer,
+            own.enter(phase::reading);
+            own.stream.expires_after(connection_timeout);
+            auto [unread, read] = co_await http::async_read(own.stream, buffer,
                                                             parser, as_result);
             if (unread)
                 co_return;
-            page_response answer =
-                co_await static_cast<Server&>(*self).respond(parser.release());
+            own.enter(phase::making);
+            page_response answer = co_await static_cast<Server&>(held->owner())
+                                       .respond(parser.release());
+            own.enter(phase::writing);
             auto [unsent, sent] =
-                co_await http::async_write(own->stream, answer, as_result);
+                co_await http::async_write(own.stream, answer, as_result);
             if (unsent || !answer.keep_alive())
                 co_return;
         }
     }
 
     asio::io_context& io_;
+    listener_metrics& metrics_;
     connections_list open_;
     std::shared_ptr<listener<page_listener>> listener_;
 };
--- a/packages/adapters/unittests/descriptor_shortage_test.cpp
+++ b/packages/adapters/unittests/descriptor_shortage_test.cpp
@@ -1,5 +1,6 @@
-// Listeners of a scheduling instance when descriptors are short.
+// Listeners when descriptors are short, and their bounds.
 #include "sycamorelock/adapters/caller_server.hpp"
+#include "sycamorelock/adapters/direct/page_server.hpp"
 #include "sycamorelock/adapters/operator_server.hpp"
 
 #include "descriptor_shortage.hpp"
@@ -8,6 +9,7 @@
 #include <criterion/criterion.h>
 
 #include <chrono>
+#include <list>
 #include <memory>
 #include <string>
 #include <thread>
@@ -123,3 +125,32 @@
     cr_expect(seen.status.starts_with("HTTP/1.1 503"), "%s",
               seen.status.c_str());
 }
+
+// One that rests ends for each that comes beyond the bound; the reader that
+// asks is served.
+Test(page_server, silent_readers_are_bounded, .timeout = 20)
+{
+    namespace direct = adapters::direct;
+    constexpr std::uint16_t port = 9100;
+    constexpr std::size_t bound = 8;
+    constexpr std::size_t silent = 20;
+    asio::io_context io;
+    direct::page_server server(
+        io, own_ip(1) + ':' + std::to_string(port),
+        [](const std::string&, const direct::page_server::reply& done) {
+            done({200, "page\n"});
+        },
+        {"pages", nullptr, bound});
+    asio::io_context readers;
+    std::list<tcp::socket> held;
+    for (std::size_t i = 0; i <= silent; ++i)
+    {
+        held.emplace_back(readers);
+        held.back().connect(address_of(port));
+    }
+    std::thread serving([&io] { io.run_for(milliseconds(500)); });
+    const std::string status = status_line(held.back(), "/x");
+    serving.join();
+    cr_expect(status.starts_with("HTTP/1.1 200"), "%s", status.c_str());
+    cr_expect_eq(server.metrics().closed_for_room.load(), silent + 1 - bound);
+}
--- a/packages/daemon/lib/direct_daemon.cpp
+++ b/packages/daemon/lib/direct_daemon.cpp
@@ -4,6 +4,7 @@
 #include "settings_file.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
+#include "sycamorelock/adapters/descriptor_limits.hpp"
 #include "sycamorelock/adapters/direct/control_plane.hpp"
 #include "sycamorelock/adapters/direct/page_server.hpp"
 #include "sycamorelock/adapters/direct/traffic_plane.hpp"
@@ -97,12 +98,12 @@
             control_io_, settings_.ready_address,
             [this](const std::string& path, const page_server::reply& done)
             { done(readiness(path)); },
-            page_server_options{"ready", &log_});
+            pages("ready"));
         operators_.emplace(
             control_io_, settings_.metrics_address,
             [this](const std::string& path, const page_server::reply& done)
             { describe(path, done); },
-            page_server_options{"metrics", &log_});
+            pages("metrics"));
         traffic_.start();
         control_.start();
         wait_for_signal();
@@ -113,6 +114,12 @@
                     {"domain", settings_.domain}});
     }
 
+    page_server_options pages(const char* name)
+    {
+        return {name, &log_,
+                adapters::page_connections(settings_.max_descriptors)};
+    }
+
     page readiness(const std::string& path)
     {
         if (path != dialect_.ready_path())
--- a/test/integration/descriptors_test.cpp
+++ b/test/integration/descriptors_test.cpp
@@ -54,23 +54,18 @@
     rlimit old_{};
 };
 
-/// Processes that are started while it lives may have this many descriptors.
-class started_with
+/// Starts a fleet whose processes may have this many descriptors.
+template <class Fleet, class Plan>
+std::unique_ptr<Fleet> start_with(rlim_t descriptors, const Plan& plan)
 {
-  public:
-    explicit started_with(rlim_t descriptors)
-    {
-        getrlimit(RLIMIT_NOFILE, &old_);
-        const rlimit lower{descriptors, old_.rlim_max};
-        setrlimit(RLIMIT_NOFILE, &lower);
-    }
-    ~started_with() { setrlimit(RLIMIT_NOFILE, &old_); }
-    started_with(const started_with&) = delete;
-    started_with& operator=(const started_with&) = delete;
-
-  private:
-    rlimit old_{};
-};
+    rlimit old{};
+    getrlimit(RLIMIT_NOFILE, &old);
+    const rlimit lower{descriptors, old.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &lower);
+    auto started = std::make_unique<Fleet>(plan);
+    setrlimit(RLIMIT_NOFILE, &old);
+    return started;
+}
 
 /// Connections that say nothing.
 class silent_connections
@@ -256,3 +251,47 @@
                   page.find("sycamorelock_accept_failures_total{listener=\"" +
                             std::string(listener)) != std::string::npos);
 }
+
+// Silent connections at one listener, more than the process has descriptors.
+Test(descriptors, silent_readers_leave_descriptors_to_callers, .timeout = 60)
+{
+    const auto running = start_with<fleet>(200, one_instance());
+    const instance& only = running->at(0);
+    const silent_connections silent(only.operator_address(), 250);
+    cr_expect_eq(status_of(only.operator_address(), "/ready", seconds(4)),
+                 200U);
+    const answer got = ask_now(running->make_call(0, "north", "desk"));
+    cr_expect(got.completed(), "%u %s", got.status, got.failure.c_str());
+}
+
+Test(descriptors, silent_callers_leave_descriptors_to_others, .timeout = 60)
+{
+    const auto running = start_with<fleet>(200, one_instance());
+    const instance& only = running->at(0);
+    const silent_connections silent(only.caller_address(), 250);
+    cr_expect_eq(status_of(only.operator_address(), "/ready", seconds(4)),
+                 200U);
+    cr_expect_eq(status_of(only.caller_address(), "/ready", seconds(4)), 200U);
+    const answer got = ask_now(running->make_call(0, "north", "desk"));
+    cr_expect(got.completed(), "%u %s", got.status, got.failure.c_str());
+}
+
+Test(descriptors, silent_readers_leave_descriptors_to_direct_callers,
+     .timeout = 60)
+{
+    direct_plan plan = one_direct_instance();
+    plan.extra = "max_descriptors: 200\n";
+    const auto running = start_with<direct_fleet>(200, plan);
+    const direct_instance& only = running->at(0);
+    for (const std::string& at :
+         {only.metrics_address(), only.ready_address(), only.caller_address()})
+    {
+        const silent_connections silent(at, 250);
+        cr_expect_eq(status_of(only.ready_address(), "/v1/readyz", seconds(4)),
+                     200U, "%s", at.c_str());
+        cr_expect_eq(status_of(only.metrics_address(), "/metrics", seconds(4)),
+                     200U, "%s", at.c_str());
+        cr_expect_eq(ask(running->make_call(0, "/look/1")).status, 200U, "%s",
+                     at.c_str());
+    }
+}
