Pages answer while others have all descriptors

A balancer that goes by the readiness page got no answer from an instance without a free descriptor and took it for dead, with all that it had in flight.

Cause: the page's connection needs a descriptor as any other. Each listener of pages now keeps one in reserve, frees it for the next connection and takes it back when that ends; with connections of its own it closes one that rests. Another thread may take it in between; then the next pause tries again.

The look for further connections in the same turn also fails for want of a descriptor; it closed the connection that had just been accepted. Found by page_server/without_descriptors_it_waits, unchanged. Now a failure counts only for a connection that waits.

--- a/packages/adapters/lib/listener.hpp
+++ b/packages/adapters/lib/listener.hpp
@@ -134,7 +134,8 @@
     {
         for (int i = 0; i < accepts_a_turn; ++i)
         {
-            // Room is made only for a connection that waits.
+            // Whether another one waits is not known: room is made only for
+            // one that does.
             if (is_full() && i > 0)
                 break;
             if (is_full() && !server_->make_room())
@@ -143,7 +144,7 @@
                 return accept_later();
             }
             const error_code error = accept_one();
-            if (error == asio::error::would_block)
+            if (error == asio::error::would_block || (error && i > 0))
                 break;
             if (error)
                 return on_failure(error);
--- a/packages/adapters/lib/page_listener.hpp
+++ b/packages/adapters/lib/page_listener.hpp
@@ -4,6 +4,7 @@
 
 #include "listener.hpp"
 #include "socket_state.hpp"
+#include "spare_descriptor.hpp"
 
 #include <algorithm>
 #include <list>
@@ -80,7 +81,7 @@
                 longest = &each;
         }
         if (longest == nullptr)
-            return false;
+            return open_.empty() && spare_.release();
         longest->ended = true;
         longest->stream.close();
         ++metrics_.closed_for_room;
@@ -126,7 +127,11 @@
                                         std::move(accepted)))
         {
         }
-        ~listed() { owner_->open_.erase(at_); }
+        ~listed()
+        {
+            owner_->open_.erase(at_);
+            owner_->spare_.renew();
+        }
         listed(const listed&) = delete;
         listed& operator=(const listed&) = delete;
         page_listener& owner() { return *owner_; }
@@ -180,6 +185,8 @@
     asio::io_context& io_;
     listener_metrics& metrics_;
     connections_list open_;
+    // Balancers go by the pages, also when others have all descriptors.
+    spare_descriptor spare_;
     std::shared_ptr<listener<page_listener>> listener_;
 };
 
--- a/test/integration/descriptors_test.cpp
+++ b/test/integration/descriptors_test.cpp
@@ -295,3 +295,23 @@
                      at.c_str());
     }
 }
+
+// Balancers go by the pages: they answer also when others have all descriptors.
+Test(descriptors, pages_answer_without_a_free_descriptor, .timeout = 60)
+{
+    fleet running(one_instance());
+    const instance& only = running.at(0);
+    direct_fleet direct(one_direct_instance());
+    const direct_instance& alone = direct.at(0);
+    const shortage_of none_left(only.pid);
+    const shortage_of none_left_there(alone.pid);
+    for (int i = 0; i < 20; ++i)
+    {
+        cr_expect_eq(status_of(only.operator_address(), "/ready", seconds(2)),
+                     200U, "%d", i);
+        cr_expect_eq(status_of(alone.ready_address(), "/v1/readyz", seconds(2)),
+                     200U, "%d", i);
+        cr_expect_eq(status_of(alone.metrics_address(), "/metrics", seconds(2)),
+                     200U, "%d", i);
+    }
+}
