A drain takes callers that wait for a descriptor before it closes

Callers whose connections waited at an instance without descriptors when its drain closed the listener were reset (5 of 5 in both kinds of instance).

Cause: the close took what waited until an accept failed, for whatever reason. Now a failure for want of descriptors makes room, pauses and tries again; the listener closes when nobody waits, and the instance ends after that or when its time for the drain is over.

--- a/packages/adapters/include/sycamorelock/adapters/caller_server.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/caller_server.hpp
@@ -24,7 +24,9 @@
 
     void start();
     /// Takes the connections that wait to be accepted, and no more of them.
+    /// Without descriptors that needs time.
     void close_listener();
+    [[nodiscard]] bool listening() const;
     /// Ends connections without a request, unless they have just been opened.
     /// Others close after their current answer.
     void end_idle_connections();
--- a/packages/adapters/lib/caller_server.cpp
+++ b/packages/adapters/lib/caller_server.cpp
@@ -141,6 +141,7 @@
             each.stop();
     }
 
+    [[nodiscard]] bool listening() const { return listener_->is_open(); }
     [[nodiscard]] std::uint16_t port() const { return listener_->port(); }
     [[nodiscard]] std::size_t busy() const { return busy_.load(); }
 
@@ -185,6 +186,11 @@
     impl_->stop();
 }
 
+bool caller_server::listening() const
+{
+    return impl_->listening();
+}
+
 std::uint16_t caller_server::port() const
 {
     return impl_->port();
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -232,7 +232,7 @@
         if (!on_idle_)
             return;
         end_idle_sessions();
-        if (!sessions_.empty())
+        if (!sessions_.empty() || listener_->is_open())
             return;
         const auto done = std::move(on_idle_);
         on_idle_ = nullptr;
--- a/packages/adapters/lib/listener.hpp
+++ b/packages/adapters/lib/listener.hpp
@@ -80,18 +80,25 @@
 
     void start() { wait_for_connection(); }
 
-    /// Takes the connections that wait to be accepted, and no more of them: the
-    /// kernel resets those that are not accepted when the listener closes.
+    /// Takes the connections that wait to be accepted and closes, which may
+    /// need time if no descriptor is free: the kernel resets those that are not
+    /// accepted.
     void close()
     {
+        closing_ = true;
         if (!acceptor_.is_open())
             return;
-        for (int i = 0; i < limits_.backlog && !accept_one(); ++i)
-        {
-        }
-        close_acceptor();
+        error_code error;
+        for (int i = 0; i < limits_.backlog && !error; ++i)
+            error = accept_one();
+        if (!error || error == asio::error::would_block)
+            close_acceptor();
+        else
+            on_failure(error);
     }
 
+    [[nodiscard]] bool is_open() const { return acceptor_.is_open(); }
+
     /// Closes at once. The server is not called afterwards.
     void stop()
     {
@@ -132,6 +139,8 @@
 
     void accept_waiting()
     {
+        if (closing_)
+            return;
         for (int i = 0; i < accepts_a_turn; ++i)
         {
             // Whether another one waits is not known: room is made only for
@@ -175,11 +184,19 @@
         const bool again = server_->make_room() && !retried_;
         retried_ = again;
         if (again)
-            accept_waiting();
+            accept_again();
         else
             accept_later();
     }
 
+    void accept_again()
+    {
+        if (closing_)
+            close();
+        else
+            accept_waiting();
+    }
+
     void note_failure(const std::string& why)
     {
         report_.failed(now(), why, server_->connections());
@@ -194,10 +211,18 @@
             {
                 if (!error && self->server_ != nullptr &&
                     self->acceptor_.is_open())
-                    self->wait_for_connection();
+                    self->after_pause();
             });
     }
 
+    void after_pause()
+    {
+        if (closing_)
+            close();
+        else
+            wait_for_connection();
+    }
+
     void wait_for_calm()
     {
         calm_.expires_after(accept_calm);
@@ -217,6 +242,7 @@
     asio::steady_timer calm_;
     /// The last accept failed and was tried again without a pause.
     bool retried_ = false;
+    bool closing_ = false;
 };
 
 } // namespace sycamorelock::adapters
--- a/packages/daemon/lib/daemon.cpp
+++ b/packages/daemon/lib/daemon.cpp
@@ -55,7 +55,8 @@
         const bool idle = control_.state().idle() && callers_.busy() == 0;
         if (idle)
             callers_.end_idle_connections();
-        const bool ended = idle && callers_.open() == 0;
+        const bool ended =
+            idle && callers_.open() == 0 && !callers_.listening();
         if (ended || adapters::now() >= give_up_at_)
         {
             control_.log().write(
--- a/test/integration/descriptors_test.cpp
+++ b/test/integration/descriptors_test.cpp
@@ -315,3 +315,60 @@
                      200U, "%d", i);
     }
 }
+
+// Callers whose connections wait for a descriptor when the drain closes the
+// listener are answered, not reset.
+Test(descriptors, callers_that_wait_are_served_before_the_end, .timeout = 60)
+{
+    fleet running(one_instance());
+    instance& only = running.at(0);
+    std::vector<unsigned> statuses(5, 0);
+    std::vector<std::thread> callers;
+    {
+        const shortage_of none_left(only.pid);
+        for (unsigned& status : statuses)
+            callers.emplace_back(
+                [&] {
+                    status =
+                        status_of(only.caller_address(), "/ready", seconds(10));
+                });
+        std::this_thread::sleep_for(milliseconds(300));
+        running.signal(only, SIGTERM);
+        // The test fleet lingers for 1.5 s.
+        std::this_thread::sleep_for(milliseconds(2000));
+    }
+    for (std::thread& each : callers)
+        each.join();
+    for (const unsigned status : statuses)
+        cr_expect_eq(status, 503U, "%u", status);
+    int ended = -1;
+    cr_expect(running.wait_exit(only, seconds(10), &ended));
+    cr_expect_eq(ended, 0, "%d", ended);
+}
+
+Test(descriptors, direct_callers_that_wait_are_served_before_the_end,
+     .timeout = 60)
+{
+    direct_fleet running(one_direct_instance());
+    direct_instance& only = running.at(0);
+    std::vector<direct_answer> answers(5);
+    std::vector<std::thread> callers;
+    {
+        const shortage_of none_left(only.pid);
+        for (direct_answer& got : answers)
+            callers.emplace_back([&got, asked = running.make_call(0, "/look/1")]
+                                 { got = ask(asked); });
+        std::this_thread::sleep_for(milliseconds(300));
+        kill(only.pid, SIGTERM);
+        // The test fleet lingers for 0.5 s.
+        std::this_thread::sleep_for(milliseconds(1000));
+    }
+    for (std::thread& each : callers)
+        each.join();
+    for (const direct_answer& got : answers)
+        cr_expect_neq(got.status, 0U);
+    int ended = -1;
+    cr_expect(wait_for_exit(only.pid, seconds(10), &ended));
+    only.pid = -1;
+    cr_expect_eq(ended, 0, "%d", ended);
+}
