--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -63,6 +63,14 @@
     {
     }
 
+    ~impl()
+    {
+        if (listener_)
+            listener_->stop();
+    }
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+
     void start()
     {
         listener_ = std::make_shared<listener<impl>>(
--- a/packages/adapters/lib/listener.hpp
+++ b/packages/adapters/lib/listener.hpp
@@ -8,6 +8,8 @@
 #include <concepts>
 #include <memory>
 
+#include <poll.h>
+
 namespace sycamorelock::adapters
 {
 
@@ -91,10 +93,10 @@
         error_code error;
         for (int i = 0; i < limits_.backlog && !error; ++i)
             error = accept_one();
-        if (!error || error == asio::error::would_block)
-            close_acceptor();
-        else
+        if (error && connection_waits())
             on_failure(error);
+        else
+            close_acceptor();
     }
 
     [[nodiscard]] bool is_open() const { return acceptor_.is_open(); }
@@ -112,6 +114,14 @@
     }
 
   private:
+    /// The error of an accept does not tell: without a descriptor it fails also
+    /// when nobody waits.
+    [[nodiscard]] bool connection_waits()
+    {
+        pollfd state{acceptor_.native_handle(), POLLIN, 0};
+        return poll(&state, 1, 0) > 0;
+    }
+
     void close_acceptor()
     {
         error_code ignored;
--- a/test/integration/descriptors_test.cpp
+++ b/test/integration/descriptors_test.cpp
@@ -372,3 +372,23 @@
     only.pid = -1;
     cr_expect_eq(ended, 0, "%d", ended);
 }
+
+// A drain does not wait for descriptors that nobody needs.
+Test(descriptors, an_instance_without_descriptors_ends_in_order, .timeout = 60)
+{
+    fleet running(one_instance());
+    instance& only = running.at(0);
+    direct_fleet direct(one_direct_instance());
+    direct_instance& alone = direct.at(0);
+    const shortage_of none_left(only.pid);
+    const shortage_of none_left_there(alone.pid);
+    running.signal(only, SIGTERM);
+    kill(alone.pid, SIGTERM);
+    int ended = -1;
+    cr_expect(running.wait_exit(only, seconds(5), &ended));
+    cr_expect_eq(ended, 0, "%d", ended);
+    ended = -1;
+    cr_expect(wait_for_exit(alone.pid, seconds(5), &ended));
+    alone.pid = -1;
+    cr_expect_eq(ended, 0, "%d", ended);
+}
