Test: a metrics page whose thread stands still ends, with real processes

All threads but the control thread are stopped (ptrace), so the handler of the metrics page never answers.

--- a/test/integration/descriptors_test.cpp
+++ b/test/integration/descriptors_test.cpp
@@ -15,7 +15,9 @@
 #include <sstream>
 #include <thread>
 
+#include <sys/ptrace.h>
 #include <sys/resource.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 using namespace standin;
@@ -54,6 +56,40 @@
     rlimit old_{};
 };
 
+/// While it lives, the threads of a process beside its first one stand still.
+/// Made and ended on one thread.
+class stuck_threads
+{
+  public:
+    explicit stuck_threads(pid_t process)
+    {
+        namespace fs = std::filesystem;
+        const std::string folder = "/proc/" + std::to_string(process) + "/task";
+        for (const fs::directory_entry& each : fs::directory_iterator(folder))
+        {
+            const pid_t thread = std::stoi(each.path().filename().string());
+            if (thread == process)
+                continue;
+            if (ptrace(PTRACE_SEIZE, thread, nullptr, nullptr) != 0)
+                continue;
+            ptrace(PTRACE_INTERRUPT, thread, nullptr, nullptr);
+            waitpid(thread, nullptr, __WALL);
+            held_.push_back(thread);
+        }
+    }
+    ~stuck_threads()
+    {
+        for (const pid_t each : held_)
+            ptrace(PTRACE_DETACH, each, nullptr, nullptr);
+    }
+    stuck_threads(const stuck_threads&) = delete;
+    stuck_threads& operator=(const stuck_threads&) = delete;
+    [[nodiscard]] std::size_t count() const { return held_.size(); }
+
+  private:
+    std::vector<pid_t> held_;
+};
+
 /// Starts a fleet whose processes may have this many descriptors.
 template <class Fleet, class Plan>
 std::unique_ptr<Fleet> start_with(rlim_t descriptors, const Plan& plan)
@@ -392,3 +428,20 @@
     alone.pid = -1;
     cr_expect_eq(ended, 0, "%d", ended);
 }
+
+// The thread that makes the metrics page never answers.
+Test(descriptors, a_page_of_a_stuck_thread_ends, .timeout = 60)
+{
+    direct_fleet running(one_direct_instance());
+    const direct_instance& only = running.at(0);
+    {
+        const stuck_threads stuck(only.pid);
+        cr_assert_gt(stuck.count(), 0U);
+        cr_expect_eq(status_of(only.metrics_address(), "/metrics", seconds(7)),
+                     503U);
+        cr_expect_neq(status_of(only.ready_address(), "/v1/readyz", seconds(2)),
+                      0U);
+    }
+    cr_expect_eq(status_of(only.metrics_address(), "/metrics", seconds(4)),
+                 200U);
+}
