Callers of direct routing are bounded by the descriptors only

Cause: at four fifths of the descriptors the listener left callers waiting, and they gave up. A caller that is accepted is refused at once.

--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -8,7 +8,6 @@
 #include "../prometheus_text.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
-#include "sycamorelock/adapters/descriptor_limits.hpp"
 #include "sycamorelock/core/direct/tick_delay.hpp"
 
 #include <boost/asio/post.hpp>
@@ -59,7 +58,7 @@
           timer_(io_),
           crowded_at_(part_of(settings.max_descriptors, crowded_part)),
           full_at_(part_of(settings.max_descriptors, full_part)),
-          most_connections_(caller_connections(settings.max_descriptors))
+          most_connections_(settings.max_descriptors)
     {
     }
 
@@ -265,6 +264,8 @@
     core::direct::tick_delay delay_{tick_period};
     std::size_t crowded_at_;
     std::size_t full_at_;
+    // Only the descriptors bound them: a caller that is accepted is refused at
+    // once, one that waits for its turn gives up.
     std::size_t most_connections_;
     std::unordered_set<request_session*> sessions_;
     std::function<void()> on_idle_;
