--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
@@ -35,6 +35,11 @@
     std::map<std::string, std::uint64_t> retried;
     std::map<std::string, std::uint64_t> ended;
     std::map<std::string, std::uint64_t> withheld;
+    /// By why the last attempt ended and why none followed: "why/why".
+    std::map<std::string, std::uint64_t> cut;
+    /// Limits on an endpoint's silence that were reached, by what the
+    /// connection held at that moment.
+    std::map<std::string, std::uint64_t> silences;
     std::map<std::string, std::unique_ptr<service_latency>> latency;
 
     service_latency& of(const std::string& service)
--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -2,6 +2,7 @@
 #include "attempt.hpp"
 
 #include "../header_copy.hpp"
+#include "../socket_state.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
 
@@ -184,14 +185,27 @@
 void attempt::expect_within(milliseconds time)
 {
     context_.limits.set(silence_, now() + time,
-                        [this]
+                        [this, time]
                         {
+                            note_silence(time);
                             silent_ = true;
                             error_code ignored;
                             channel_->socket.close(ignored);
                         });
 }
 
+void attempt::note_silence(milliseconds limit)
+{
+    const std::string state(to_string(look_at(channel_->socket)));
+    ++context_.metrics.silences[state];
+    context_.log.write(direct_event::endpoint_silent,
+                       {{"request", request_.meta.attempt_id},
+                        {"endpoint", placed_.endpoint.boot},
+                        {"limit_ms", std::to_string(limit.count())},
+                        {"connection", state},
+                        {"events", std::to_string(events_.count())}});
+}
+
 bool attempt::may_send()
 {
     const auto reason = context_.router.withheld(now(), placed_);
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -104,6 +104,8 @@
     asio::awaitable<attempt_end> pass_on_rest();
     attempt_end stopped(std::string_view why);
     void expect_within(milliseconds time);
+    /// Tells that nothing was read of the endpoint within a limit.
+    void note_silence(milliseconds limit);
     void note_first();
     void note_event();
     void release();
--- a/packages/adapters/lib/direct/open_request.hpp
+++ b/packages/adapters/lib/direct/open_request.hpp
@@ -27,6 +27,10 @@
     core::duration longest_pause{0};
     /// An endpoint may have begun to run it.
     bool may_have_run = false;
+    /// Why the last attempt ended before its answer did, and why none follows
+    /// it; empty if that did not happen.
+    std::string_view stopped_by;
+    std::string_view not_repeated;
     event_splitter events;
 
     /// Host field without a port.
--- a/packages/adapters/lib/direct/request_log.cpp
+++ b/packages/adapters/lib/direct/request_log.cpp
@@ -34,6 +34,11 @@
     return ms_text(request.first - request.profile.arrived);
 }
 
+std::string text_or_none(std::string_view text)
+{
+    return std::string(text.empty() ? "none" : text);
+}
+
 /// How long the caller said that it would wait.
 std::string left_text(const open_request& request)
 {
@@ -129,9 +134,14 @@
         of.first.record(seconds(request.first - request.profile.arrived));
     if (request.longest_pause > core::duration(0))
         of.pause.record(seconds(request.longest_pause));
+    if (outcome == "cut")
+        ++context_.metrics.cut[std::string(request.stopped_by) + '/' +
+                               std::string(request.not_repeated)];
     context_.log.write(direct_event::request_ended,
                        {{"request", request.meta.attempt_id},
                         {"outcome", std::string(outcome)},
+                        {"why", text_or_none(request.stopped_by)},
+                        {"not_repeated", text_or_none(request.not_repeated)},
                         {"status", std::to_string(status)},
                         {"attempts", std::to_string(request.attempts)},
                         {"events", std::to_string(request.events.count())},
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -356,6 +356,7 @@
     if (co_await finish(request, tried, end))
         co_return std::nullopt;
     request.may_have_run = request.may_have_run || may_have_run(end);
+    request.stopped_by = tried.why();
     if (!was_sent(end))
         --request.attempts;
     auto next = stop_ == stop::none ? place_again(request, end) : std::nullopt;
@@ -396,24 +397,28 @@
     const core::direct::route& way = *request.profile.way;
     // Also a request that no endpoint has run goes to no more of them than the
     // operators allow.
-    if (request.attempts >= way.max_attempts)
+    const auto none = [&request](std::string_view reason)
+    {
+        request.not_repeated = reason;
         return std::nullopt;
+    };
+    if (request.attempts >= way.max_attempts)
+        return none("attempts_spent");
     if (request.may_have_run && !way.repeatable())
-        return std::nullopt;
+        return none("not_repeatable");
     if (after == attempt_end::broken && !way.resumable)
-        return std::nullopt;
+        return none("not_resumable");
     auto decided = context_.router.decide(now(), request.profile,
                                           request.service, request.tried, true);
-    auto* placed = std::get_if<core::direct::placement_decision>(&decided);
-    if (placed == nullptr)
-        return std::nullopt;
+    if (const auto* refused = std::get_if<refusal_decision>(&decided))
+        return none(to_string(refused->reason));
     // What was not sent brought nothing to any endpoint.
     if (was_sent(after) && !context_.router.spend_retry(request.service))
     {
         ++context_.metrics.refused["retry_budget"];
-        return std::nullopt;
+        return none("retry_budget");
     }
-    return *placed;
+    return std::get<core::direct::placement_decision>(decided);
 }
 
 asio::awaitable<void> request_session::deliver(open_request& request,
--- a/packages/adapters/lib/direct/traffic_metrics.cpp
+++ b/packages/adapters/lib/direct/traffic_metrics.cpp
@@ -53,6 +53,14 @@
              "Attempts not sent, by what had become known of the endpoint "
              "since it was chosen.",
              withheld);
+    labelled(out, "cut_total", "reason",
+             "Answers cut in the middle, by why the last attempt ended and why "
+             "no other followed.",
+             cut);
+    labelled(out, "endpoint_silences_total", "connection",
+             "Limits on the silence of an endpoint that were reached, by the "
+             "state of the connection.",
+             silences);
     labelled(out, "ended_total", "outcome", "Requests ended, by outcome.",
              ended);
     distributions(out, "first_seconds",
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -123,6 +123,9 @@
     event_kind{3006, info, "request_rejected",
                "The configuration in force does not allow a request, or there "
                "is none yet."},
+    event_kind{3007, info, "endpoint_silent",
+               "Nothing was read of an endpoint within a limit; `connection` "
+               "tells whether something waits to be read."},
     event_kind{3101, info, "endpoint_seen",
                "An endpoint registered or changed its entry."},
     event_kind{3102, info, "endpoint_drains",
--- a/packages/adapters/lib/socket_state.hpp
+++ b/packages/adapters/lib/socket_state.hpp
@@ -17,6 +17,20 @@
     ended,
 };
 
+inline std::string_view to_string(socket_state state)
+{
+    switch (state)
+    {
+    case socket_state::quiet:
+        return "quiet";
+    case socket_state::readable:
+        return "readable";
+    case socket_state::ended:
+        return "ended";
+    }
+    return "unknown";
+}
+
 inline socket_state look_at(tcp::socket& socket)
 {
     error_code error;
