--- /dev/null
+++ b/test/integration/silence_test.cpp
@@ -0,0 +1,150 @@
+// Endpoints from which nothing is read for a while, as real processes.
+#include "direct_checks.hpp"
+
+#include <criterion/criterion.h>
+
+#include <csignal>
+#include <thread>
+
+using namespace standin;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+/// Longer than an instance waits for the next event: four times the objective
+/// of pauses, which is 100 ms.
+constexpr milliseconds long_pause{1200};
+/// The same for the first event: 2.5 times the objective, 400 ms.
+constexpr milliseconds long_start{1600};
+
+direct_plan one_endpoint_each()
+{
+    direct_plan plan;
+    plan.instances = 1;
+    plan.engines = 1;
+    plan.plain = 1;
+    plan.events = 10;
+    plan.gap = milliseconds(20);
+    return plan;
+}
+
+/// Asks many times at once.
+std::vector<direct_answer> ask_all(const std::vector<direct_call>& calls)
+{
+    std::vector<direct_answer> got(calls.size());
+    std::vector<std::thread> callers;
+    callers.reserve(calls.size());
+    for (std::size_t i = 0; i < calls.size(); ++i)
+        callers.emplace_back([&, i] { got[i] = ask(calls[i]); });
+    for (std::thread& each : callers)
+        each.join();
+    return got;
+}
+
+/// Stops the process for a time, as a machine that gets no processor does.
+void freeze(const direct_instance& which, milliseconds length)
+{
+    ::kill(which.pid, SIGSTOP);
+    std::this_thread::sleep_for(length);
+    ::kill(which.pid, SIGCONT);
+}
+
+} // namespace
+
+// Guards against LOST: a stream was cut because its endpoint paused, though no
+// other endpoint could go on with it.
+Test(silence, a_stream_stays_with_its_endpoint_while_no_other_can_take_it)
+{
+    direct_fleet fleet(one_endpoint_each());
+    fleet.engine(0).set_pause(4, long_pause);
+    const direct_call asked = fleet.make_call(0);
+    check_stream(ask(asked), asked, 10);
+    cr_expect_eq(fleet.runs_of(asked.id), 1);
+}
+
+// Guards against the same before the first event: the run was given up and the
+// caller got 502.
+Test(silence, a_request_stays_with_its_endpoint_while_no_other_can_take_it)
+{
+    direct_fleet fleet(one_endpoint_each());
+    fleet.engine(0).set_pause(1, long_start);
+    const direct_call stream = fleet.make_call(0);
+    check_stream(ask(stream), stream, 10);
+    cr_expect_eq(fleet.runs_of(stream.id), 1);
+
+    fleet.plain(0).set_pause(0, milliseconds(700));
+    const direct_call look = fleet.make_call(0, "/look/1");
+    cr_expect_eq(ask(look).status, 200U);
+    cr_expect_eq(fleet.runs_of(look.id), 1);
+}
+
+// Guards against LOST: streams were cut because the budget of repeats was spent
+// when their endpoint paused.
+Test(silence, a_stream_stays_with_its_endpoint_while_no_repeat_is_allowed)
+{
+    direct_plan plan = one_endpoint_each();
+    plan.engines = 2;
+    direct_fleet fleet(plan);
+    const std::string text = fleet.settings_of(fleet.at(0));
+    std::string without = text;
+    without.replace(without.find("retry_slack: 100"), 16, "retry_slack: 0");
+    fleet.write_settings(fleet.at(0), without + "retry_ratio: 0\n");
+    ::kill(fleet.at(0).pid, SIGHUP);
+    std::this_thread::sleep_for(milliseconds(300));
+    for (std::size_t i = 0; i < 2; ++i)
+        fleet.engine(i).set_pause(4, long_pause);
+    // One repeat can always be saved up; this request takes it.
+    ask(fleet.make_call(0));
+    const direct_call asked = fleet.make_call(0);
+    check_stream(ask(asked), asked, 10);
+    cr_expect_eq(fleet.runs_of(asked.id), 1);
+}
+
+// Guards against LOST: an instance that got no processor for a while took
+// endpoints for silent whose answers it had not read.
+Test(silence, what_waits_to_be_read_is_no_silence)
+{
+    direct_plan plan = one_endpoint_each();
+    plan.engines = 2;
+    plan.events = 30;
+    plan.gap = milliseconds(60);
+    direct_fleet fleet(plan);
+    std::vector<direct_call> calls;
+    for (int i = 0; i < 12; ++i)
+        calls.push_back(fleet.make_call(0));
+    for (std::size_t i = 0; i < 2; ++i)
+        fleet.engine(i).set_pause(1, milliseconds(300));
+    std::thread stop(
+        [&]
+        {
+            std::this_thread::sleep_for(milliseconds(200));
+            freeze(fleet.at(0), milliseconds(1300));
+        });
+    const std::vector<direct_answer> got = ask_all(calls);
+    stop.join();
+    for (std::size_t i = 0; i < calls.size(); ++i)
+    {
+        check_stream(got[i], calls[i], 30);
+        cr_expect_eq(fleet.runs_of(calls[i].id), 1);
+    }
+}
+
+// Guards against LOST: a caller that read slowly made its endpoint look silent,
+// and the rest of the answer was thrown away.
+Test(silence, a_caller_that_reads_slowly_makes_no_endpoint_silent)
+{
+    direct_plan plan = one_endpoint_each();
+    plan.engines = 2;
+    plan.events = 40;
+    plan.gap = milliseconds(1);
+    direct_fleet fleet(plan);
+    for (std::size_t i = 0; i < 2; ++i)
+        fleet.engine(i).set_padding(256 * 1024);
+    direct_call asked = fleet.make_call(0);
+    asked.read_after = milliseconds(1500);
+    const direct_answer got = ask(asked);
+    cr_expect(got.whole);
+    cr_expect_gt(got.body.size(), 40U * 256 * 1024);
+    cr_expect_eq(fleet.runs_of(asked.id), 1);
+}
--- a/test/standins/direct_engine.cpp
+++ b/test/standins/direct_engine.cpp
@@ -11,12 +11,13 @@
 namespace
 {
 
-std::string event(const std::string& attempt_id, long id)
+std::string event(const std::string& attempt_id, long id,
+                  std::size_t padding = 0)
 {
     // The content of an event does not depend on who makes it.
     const std::string subject = attempt_id.substr(0, attempt_id.find('/'));
     return "id: " + std::to_string(id) + "\ndata: " + subject + '-' +
-           std::to_string(id) + "\n\n";
+           std::to_string(id) + std::string(padding, '.') + "\n\n";
 }
 
 std::string chunk(const std::string& bytes)
@@ -113,6 +114,26 @@
     boot_ = boot;
 }
 
+void direct_engine::set_pause(long before_event,
+                              std::chrono::milliseconds length)
+{
+    const std::lock_guard lock(mutex_);
+    paused_event_ = before_event;
+    pause_ = length;
+}
+
+void direct_engine::set_padding(std::size_t bytes)
+{
+    const std::lock_guard lock(mutex_);
+    padding_ = bytes;
+}
+
+std::chrono::milliseconds direct_engine::gap_before(long event) const
+{
+    const std::lock_guard lock(mutex_);
+    return event == paused_event_ ? gap_ + pause_ : gap_;
+}
+
 void direct_engine::set_leaving(bool leaving)
 {
     const std::lock_guard lock(mutex_);
@@ -166,9 +187,11 @@
 {
     const bool framed = fault != answer_fault::unframed;
     long left = 0;
+    std::size_t padding = 0;
     {
         const std::lock_guard lock(mutex_);
         left = cut_at_;
+        padding = padding_;
     }
     std::string head = header(run.attempt_id, "200 OK") +
                        "Content-Type: text/event-stream\r\n";
@@ -178,9 +201,10 @@
         co_return false;
     for (long id = run.last_event + 1; id <= events_; ++id)
     {
-        co_await sleep_for(gap_);
+        const std::chrono::milliseconds gap = gap_before(id);
+        co_await sleep_for(gap);
         // Named: GCC 12 frees temporaries of such calls twice.
-        std::string bytes = event(run.attempt_id, id);
+        std::string bytes = event(run.attempt_id, id, padding);
         if (framed)
             bytes = chunk(bytes);
         if (!co_await send(stream, std::move(bytes), fault, left))
@@ -259,7 +283,8 @@
         more = co_await stream_events(stream, run, fault);
     else if (fault != answer_fault::lost)
     {
-        co_await sleep_for(gap_);
+        const std::chrono::milliseconds gap = gap_before(0);
+        co_await sleep_for(gap);
         long left = 0;
         {
             const std::lock_guard lock(mutex_);
--- a/test/standins/direct_engine.hpp
+++ b/test/standins/direct_engine.hpp
@@ -70,6 +70,11 @@
     /// Turns requests away and asks for rest, with this text; an empty one ends
     /// that.
     void set_rest(const std::string& retry_after);
+    /// From now on each stream pauses before this event, and each other answer
+    /// before it begins.
+    void set_pause(long before_event, std::chrono::milliseconds length);
+    /// Events are that much longer from now on.
+    void set_padding(std::size_t bytes);
     /// All answers say from now on that the endpoint leaves, or not.
     void set_leaving(bool leaving);
     [[nodiscard]] std::vector<arrival> arrivals() const;
@@ -91,6 +96,8 @@
     /// An answer that tells nothing of a run.
     [[nodiscard]] response refusal(http::status status) const;
     answer_fault take_fault();
+    /// How long to wait before an event.
+    [[nodiscard]] std::chrono::milliseconds gap_before(long event) const;
 
     std::string boot_;
     int events_;
@@ -102,6 +109,9 @@
     std::string rest_;
     answer_fault fault_ = answer_fault::none;
     long cut_at_ = 0;
+    long paused_event_ = 0;
+    std::chrono::milliseconds pause_{0};
+    std::size_t padding_ = 0;
     int fault_times_ = 0;
     std::string answer_before_;
     std::atomic<int> working_{0};
--- a/test/standins/direct_fleet.cpp
+++ b/test/standins/direct_fleet.cpp
@@ -78,6 +78,8 @@
         co_await asio::async_write(stream, asio::buffer(message), as_result);
     if (unsent)
         co_return false;
+    if (what.read_after.count() > 0)
+        co_await sleep_for(what.read_after);
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(boost::none);
--- a/test/standins/direct_fleet.hpp
+++ b/test/standins/direct_fleet.hpp
@@ -61,6 +61,8 @@
     std::map<std::string, std::string> fields{};
     bool chunked = false;
     std::chrono::milliseconds leave_after{0};
+    /// Begins to read the answer that long after the request.
+    std::chrono::milliseconds read_after{0};
 };
 
 struct direct_answer
