What waits to be read is no silence of an endpoint

What callers saw: streams cut in the middle, or run a second time, at instances that were behind. Cause: limits on connecting, on the first answer and on pauses were compared with the clock before what had arrived in the meantime was read; and nothing is read of an endpoint while a write waits for the caller, so a caller that read slowly used up the limit as well. Runs that went on or were whole were thrown away, and the budget of repeats with them. Now a limit that is reached looks at the connection: unread bytes, an answer that is being passed on and a connection that stands already are no silence, and what was read in the same turn of the event loop is handled first.

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -36,6 +36,9 @@
 constexpr double silence_factor = 2.5;
 constexpr double pause_factor = 4;
 constexpr milliseconds least_silence{300};
+/// What was read in the same turn of the event loop as a limit was reached is
+/// handled before the next tick.
+constexpr milliseconds next_turn{1};
 
 milliseconds scaled(milliseconds value, double factor)
 {
@@ -158,8 +161,11 @@
 attempt_end attempt::stopped(std::string_view why)
 {
     why_ = silent_ ? "silent" : why;
-    if (sending_ == nullptr)
-        return attempt_end::unreachable;
+    return sending_ == nullptr ? attempt_end::unreachable : unfinished_end();
+}
+
+attempt_end attempt::unfinished_end() const
+{
     return out_.begun() ? attempt_end::broken : attempt_end::failed;
 }
 
@@ -171,7 +177,7 @@
         co_return true;
     channel_ = std::make_unique<endpoint_channel>(context_.io);
     ++context_.metrics.endpoint_connects;
-    expect_within(connect_time);
+    expect_connection();
     auto [error] = co_await channel_->socket.async_connect(
         parse_address(placed_.endpoint.address), as_result);
     silence_.lift();
@@ -182,21 +188,53 @@
     co_return true;
 }
 
+void attempt::expect_connection()
+{
+    context_.limits.set(silence_, now() + connect_time,
+                        [this]
+                        {
+                            // It stands, and this instance has not come to use
+                            // it yet.
+                            if (is_connected(channel_->socket))
+                                return;
+                            note_silence(connect_time, socket_state::quiet);
+                            give_up_silent();
+                        });
+}
+
 void attempt::expect_within(milliseconds time)
 {
     context_.limits.set(silence_, now() + time,
                         [this, time]
                         {
-                            note_silence(time);
-                            silent_ = true;
-                            error_code ignored;
-                            channel_->socket.close(ignored);
+                            context_.limits.set(silence_, now() + next_turn,
+                                                [this, time]
+                                                { on_silence(time); });
                         });
 }
 
-void attempt::note_silence(milliseconds limit)
+void attempt::on_silence(milliseconds limit)
 {
-    const std::string state(to_string(look_at(channel_->socket)));
+    const socket_state connection = look_at(channel_->socket);
+    note_silence(limit, connection);
+    // What has arrived and is not read yet is no silence: this instance is
+    // late, or its caller is slow.
+    if (connection == socket_state::quiet && !passing_on_)
+        give_up_silent();
+    else
+        expect_within(limit);
+}
+
+void attempt::give_up_silent()
+{
+    silent_ = true;
+    error_code ignored;
+    channel_->socket.close(ignored);
+}
+
+void attempt::note_silence(milliseconds limit, socket_state connection)
+{
+    const std::string state(to_string(connection));
     ++context_.metrics.silences[state];
     context_.log.write(direct_event::endpoint_silent,
                        {{"request", request_.meta.attempt_id},
@@ -383,6 +421,14 @@
     event_at_ = at;
 }
 
+asio::awaitable<error_code> attempt::pass_on(std::string_view bytes, bool last)
+{
+    passing_on_ = true;
+    const error_code error = co_await out_.write_piece(bytes, last);
+    passing_on_ = false;
+    co_return error;
+}
+
 asio::awaitable<attempt_end> attempt::relay_events()
 {
     const core::direct::route& way = *request_.profile.way;
@@ -414,7 +460,7 @@
             if (request_.may_repeat)
                 expect_within(pause);
         }
-        if (co_await out_.write_piece(whole, done))
+        if (co_await pass_on(whole, done))
         {
             why_ = "caller_left";
             co_return attempt_end::abandoned;
@@ -451,7 +497,7 @@
     for (;;)
     {
         const bool done = parser_->is_done();
-        if (co_await out_.write_piece(bytes, done))
+        if (co_await pass_on(bytes, done))
         {
             why_ = "caller_left";
             co_return attempt_end::abandoned;
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -4,6 +4,8 @@
 #include "answer_writer.hpp"
 #include "traffic_context.hpp"
 
+#include "../socket_state.hpp"
+
 #include "sycamorelock/adapters/direct/event_stream.hpp"
 
 #include <functional>
@@ -103,9 +105,19 @@
     asio::awaitable<attempt_end> collect();
     asio::awaitable<attempt_end> pass_on_rest();
     attempt_end stopped(std::string_view why);
+    /// How an attempt ends whose answer stops here.
+    [[nodiscard]] attempt_end unfinished_end() const;
+    /// Ends the attempt if there is no connection by then.
+    void expect_connection();
+    /// Looks for another endpoint if nothing is read of this one by then.
     void expect_within(milliseconds time);
+    void on_silence(milliseconds limit);
+    /// Closes the connection, which ends the wait for the endpoint.
+    void give_up_silent();
     /// Tells that nothing was read of the endpoint within a limit.
-    void note_silence(milliseconds limit);
+    void note_silence(milliseconds limit, socket_state connection);
+    /// Passes a piece on to the caller.
+    asio::awaitable<error_code> pass_on(std::string_view bytes, bool last);
     void note_first();
     void note_event();
     void release();
@@ -133,6 +145,8 @@
     core::duration longest_pause_{0};
     bool abandoned_ = false;
     bool silent_ = false;
+    /// A piece waits for the caller to take it.
+    bool passing_on_ = false;
 };
 
 } // namespace sycamorelock::adapters::direct
--- a/packages/adapters/lib/socket_state.hpp
+++ b/packages/adapters/lib/socket_state.hpp
@@ -3,6 +3,8 @@
 
 #include "http.hpp"
 
+#include <poll.h>
+
 namespace sycamorelock::adapters
 {
 
@@ -44,6 +46,13 @@
     return !error && size > 0 ? socket_state::readable : socket_state::ended;
 }
 
+/// Whether a connection that is being opened stands.
+inline bool is_connected(tcp::socket& socket)
+{
+    pollfd state{socket.native_handle(), POLLOUT, 0};
+    return poll(&state, 1, 0) > 0 && (state.revents & (POLLERR | POLLHUP)) == 0;
+}
+
 inline bool is_quiet(tcp::socket& socket)
 {
     return look_at(socket) == socket_state::quiet;
