A silent endpoint is left only for another one

What callers saw: answers cut in the middle (LOST), or 502, after an endpoint had paused for 2.5 objectives before its first event or four pause objectives later. Cause: the connection was closed first; only then was asked whether attempts, the budget of repeats and an endpoint were left. Where none was, the run was given up for nothing. Now the next endpoint is secured, with its repeat, before the silent one is left; without one the attempt goes on and asks again after the same time, until the request's own time is over.

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -218,8 +218,10 @@
     const socket_state connection = look_at(channel_->socket);
     note_silence(limit, connection);
     // What has arrived and is not read yet is no silence: this instance is
-    // late, or its caller is slow.
-    if (connection == socket_state::quiet && !passing_on_)
+    // late, or its caller is slow. An endpoint that pauses is left only for
+    // another one.
+    const bool is_silent = connection == socket_state::quiet && !passing_on_;
+    if (is_silent && request_.secure_next(unfinished_end()))
         give_up_silent();
     else
         expect_within(limit);
@@ -376,7 +378,7 @@
 {
     const core::direct::route& way = *request_.profile.way;
     const milliseconds silence = scaled(way.objective, silence_factor);
-    if (request_.may_repeat)
+    if (request_.secure_next)
         expect_within(silence);
     const std::optional<answer_meta> meta = co_await read_header();
     if (!meta)
@@ -457,7 +459,7 @@
         if (!whole.empty())
         {
             note_event();
-            if (request_.may_repeat)
+            if (request_.secure_next)
                 expect_within(pause);
         }
         if (co_await pass_on(whole, done))
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -56,8 +56,10 @@
     const request_meta& meta;
     const core::direct::request_profile& profile;
     std::string_view account_name;
-    /// The route allows a repeat and attempts are left.
-    bool may_repeat = false;
+    /// Has another endpoint ready for the request, if there is one that may
+    /// take it after an attempt that ends so. Absent if the request may not be
+    /// repeated.
+    std::function<bool(attempt_end)> secure_next;
 };
 
 class attempt
--- a/packages/adapters/lib/direct/open_request.hpp
+++ b/packages/adapters/lib/direct/open_request.hpp
@@ -21,6 +21,9 @@
     std::string service_name;
     std::string account_name;
     std::set<core::endpoint_id> tried;
+    /// Where the request goes after the attempt that is under way, if an
+    /// endpoint was secured for that.
+    std::optional<core::direct::placement_decision> next;
     unsigned attempts = 0;
     /// When the first event, or a whole answer, came; zero if none did.
     core::time_point first;
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -341,10 +341,17 @@
     ++request.attempts;
     request.tried.insert(placed.hold.endpoint);
     log_.placed(request, placed);
-    const bool more = request.attempts < way.max_attempts;
+    request.next.reset();
+    std::function<bool(attempt_end)> secure_next;
+    if (request.attempts < way.max_attempts && way.repeatable())
+        secure_next = [this, &request](attempt_end after)
+        {
+            request.next = place_again(request, after);
+            return request.next.has_value();
+        };
     attempt tried(context_,
                   {request.message, request.meta, request.profile,
-                   request.account_name, more && way.repeatable()},
+                   request.account_name, std::move(secure_next)},
                   placed, out_, request.events);
     attempt_ = &tried;
     const attempt_end end = co_await tried.run();
@@ -359,7 +366,11 @@
     request.stopped_by = tried.why();
     if (!was_sent(end))
         --request.attempts;
-    auto next = stop_ == stop::none ? place_again(request, end) : std::nullopt;
+    auto next = std::move(request.next);
+    if (!next && stop_ == stop::none)
+        next = place_again(request, end);
+    if (stop_ != stop::none)
+        next.reset();
     if (next)
         log_.repeated(request, placed.endpoint.boot, end, tried.why());
     else if (end == attempt_end::held)
