A connection that an answer kept open takes one more request from its caller

What callers saw: no answer to a request that followed another one on the same connection, as the instance was told to end during the answer before, which had promised to keep the connection. Cause: the session closed after that answer as soon as the instance was leaving. It now waits for the next request like any other; requests that begin while the instance leaves are answered with Connection: close, and connections without a request end with the drain as before. Before: status 0; after: 200 with Connection: close (drain/a_connection_that_was_promised_takes_one_more_request).

--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -150,7 +150,9 @@
     else
         co_await handle(request.release());
     busy_ = false;
-    co_return keep_ && !context_.leaving && !ending_ && socket_.is_open();
+    // A connection that an answer has kept open takes what its caller sends
+    // next, also when the instance has begun to leave since.
+    co_return keep_ && socket_.is_open();
 }
 
 asio::awaitable<void> request_session::answer_unreadable(error_code error)
--- a/test/integration/drain_test.cpp
+++ b/test/integration/drain_test.cpp
@@ -164,6 +164,16 @@
     cr_assert_eq(unanswered, 0, "%zu of %zu", unanswered, answers.size());
 }
 
+/// Asks over one connection, with a pause between.
+asio::awaitable<void> ask_twice(beast::tcp_stream& over,
+                                std::array<direct_call, 2> calls,
+                                direct_answer& first, direct_answer& second)
+{
+    co_await ask_over(over, calls[0], first);
+    co_await sleep_for(milliseconds(100));
+    co_await ask_over(over, calls[1], second);
+}
+
 void wait_for_end(direct_instance& which)
 {
     cr_assert(wait_for_exit(which.pid, std::chrono::seconds(20), nullptr));
@@ -204,3 +214,35 @@
         ask_across_linger(running.at(0).pid, direct_before_freeze, ask));
     wait_for_end(running.at(0));
 }
+
+// Guards against a request that gets no answer on a connection that the answer
+// before had kept open, as the instance was told to end during that answer.
+Test(drain, a_connection_that_was_promised_takes_one_more_request)
+{
+    direct_plan plan;
+    plan.instances = 1;
+    plan.events = 20;
+    plan.gap = milliseconds(25);
+    direct_fleet running(plan);
+    asio::io_context context{1};
+    beast::tcp_stream caller(context);
+    caller.connect(endpoint_of(running.at(0).caller_address()));
+    direct_answer before;
+    direct_answer after;
+    const direct_call stream = running.make_call(0);
+    const direct_call next = running.make_call(0, "/look/x");
+    asio::co_spawn(context, ask_twice(caller, {stream, next}, before, after),
+                   asio::detached);
+    std::thread ends(
+        [&]
+        {
+            std::this_thread::sleep_for(milliseconds(250));
+            kill(running.at(0).pid, SIGTERM);
+        });
+    context.run();
+    ends.join();
+    cr_assert(before.whole);
+    cr_assert_not(before.closes);
+    cr_expect_eq(after.status, 200U, "%u", after.status);
+    cr_expect(after.closes);
+}
