--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -4,6 +4,8 @@
 #include "answer_writer.hpp"
 #include "traffic_context.hpp"
 
+#include "../socket_state.hpp"
+
 #include "sycamorelock/adapters/direct/event_stream.hpp"
 
 #include <functional>
@@ -54,8 +56,10 @@
     const request_meta& meta;
     const core::direct::request_profile& profile;
     std::string_view account_name;
-    /// The route allows a repeat and attempts are left.
-    bool may_repeat = false;
+    /// Has another endpoint ready for the request, if there is one that may
+    /// take it after an attempt that ends so. Absent if the request may not be
+    /// repeated.
+    std::function<bool(attempt_end)> secure_next;
 };
 
 class attempt
@@ -103,7 +107,19 @@
     asio::awaitable<attempt_end> collect();
     asio::awaitable<attempt_end> pass_on_rest();
     attempt_end stopped(std::string_view why);
+    /// How an attempt ends whose answer stops here.
+    [[nodiscard]] attempt_end unfinished_end() const;
+    /// Ends the attempt if there is no connection by then.
+    void expect_connection();
+    /// Looks for another endpoint if nothing is read of this one by then.
     void expect_within(milliseconds time);
+    void on_silence(milliseconds limit);
+    /// Closes the connection, which ends the wait for the endpoint.
+    void give_up_silent();
+    /// Tells that nothing was read of the endpoint within a limit.
+    void note_silence(milliseconds limit, socket_state connection);
+    /// Passes a piece on to the caller.
+    asio::awaitable<error_code> pass_on(std::string_view bytes, bool last);
     void note_first();
     void note_event();
     void release();
@@ -131,6 +147,8 @@
     core::duration longest_pause_{0};
     bool abandoned_ = false;
     bool silent_ = false;
+    /// A piece waits for the caller to take it.
+    bool passing_on_ = false;
 };
 
 } // namespace sycamorelock::adapters::direct
--- a/packages/adapters/lib/direct/open_request.hpp
+++ b/packages/adapters/lib/direct/open_request.hpp
@@ -21,12 +21,19 @@
     std::string service_name;
     std::string account_name;
     std::set<core::endpoint_id> tried;
+    /// Where the request goes after the attempt that is under way, if an
+    /// endpoint was secured for that.
+    std::optional<core::direct::placement_decision> next;
     unsigned attempts = 0;
     /// When the first event, or a whole answer, came; zero if none did.
     core::time_point first;
     core::duration longest_pause{0};
     /// An endpoint may have begun to run it.
     bool may_have_run = false;
+    /// Why the last attempt ended before its answer did, and why none follows
+    /// it; empty if that did not happen.
+    std::string_view stopped_by;
+    std::string_view not_repeated;
     event_splitter events;
 
     /// Host field without a port.
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -150,7 +150,9 @@
     else
         co_await handle(request.release());
     busy_ = false;
-    co_return keep_ && !context_.leaving && !ending_ && socket_.is_open();
+    // A connection that an answer has kept open takes what its caller sends
+    // next, also when the instance has begun to leave since.
+    co_return keep_ && socket_.is_open();
 }
 
 asio::awaitable<void> request_session::answer_unreadable(error_code error)
@@ -341,10 +343,17 @@
     ++request.attempts;
     request.tried.insert(placed.hold.endpoint);
     log_.placed(request, placed);
-    const bool more = request.attempts < way.max_attempts;
+    request.next.reset();
+    std::function<bool(attempt_end)> secure_next;
+    if (request.attempts < way.max_attempts && way.repeatable())
+        secure_next = [this, &request](attempt_end after)
+        {
+            request.next = place_again(request, after);
+            return request.next.has_value();
+        };
     attempt tried(context_,
                   {request.message, request.meta, request.profile,
-                   request.account_name, more && way.repeatable()},
+                   request.account_name, std::move(secure_next)},
                   placed, out_, request.events);
     attempt_ = &tried;
     const attempt_end end = co_await tried.run();
@@ -356,9 +365,14 @@
     if (co_await finish(request, tried, end))
         co_return std::nullopt;
     request.may_have_run = request.may_have_run || may_have_run(end);
+    request.stopped_by = tried.why();
     if (!was_sent(end))
         --request.attempts;
-    auto next = stop_ == stop::none ? place_again(request, end) : std::nullopt;
+    auto next = std::move(request.next);
+    if (!next && stop_ == stop::none)
+        next = place_again(request, end);
+    if (stop_ != stop::none)
+        next.reset();
     if (next)
         log_.repeated(request, placed.endpoint.boot, end, tried.why());
     else if (end == attempt_end::held)
@@ -396,24 +410,28 @@
     const core::direct::route& way = *request.profile.way;
     // Also a request that no endpoint has run goes to no more of them than the
     // operators allow.
-    if (request.attempts >= way.max_attempts)
+    const auto none = [&request](std::string_view reason)
+    {
+        request.not_repeated = reason;
         return std::nullopt;
+    };
+    if (request.attempts >= way.max_attempts)
+        return none("attempts_spent");
     if (request.may_have_run && !way.repeatable())
-        return std::nullopt;
+        return none("not_repeatable");
     if (after == attempt_end::broken && !way.resumable)
-        return std::nullopt;
+        return none("not_resumable");
     auto decided = context_.router.decide(now(), request.profile,
                                           request.service, request.tried, true);
-    auto* placed = std::get_if<core::direct::placement_decision>(&decided);
-    if (placed == nullptr)
-        return std::nullopt;
+    if (const auto* refused = std::get_if<refusal_decision>(&decided))
+        return none(to_string(refused->reason));
     // What was not sent brought nothing to any endpoint.
     if (was_sent(after) && !context_.router.spend_retry(request.service))
     {
         ++context_.metrics.refused["retry_budget"];
-        return std::nullopt;
+        return none("retry_budget");
     }
-    return *placed;
+    return std::get<core::direct::placement_decision>(decided);
 }
 
 asio::awaitable<void> request_session::deliver(open_request& request,
