Test: a secured endpoint declines, and the stream is cut

What callers see: a stream cut in the middle (LOST) though its endpoint only paused and would have gone on. A silent endpoint is left as soon as the router names another one; that one declines, or cannot be reached, and with max_attempts 2 nothing is left.

--- a/test/integration/silence_test.cpp
+++ b/test/integration/silence_test.cpp
@@ -148,3 +148,24 @@
     cr_expect_gt(got.body.size(), 40U * 256 * 1024);
     cr_expect_eq(fleet.runs_of(asked.id), 1);
 }
+
+// Guards against LOST: a stream was cut because the endpoint that was to go on
+// with it declined, though the one that was left had only paused.
+Test(silence, a_stream_stays_with_its_endpoint_until_another_has_taken_it)
+{
+    direct_plan plan = one_endpoint_each();
+    plan.engines = 2;
+    direct_fleet fleet(plan);
+    for (std::size_t i = 0; i < 2; ++i)
+        fleet.engine(i).set_pause(4, long_pause);
+    const direct_call asked = fleet.make_call(0);
+    direct_answer got;
+    std::thread caller([&] { got = ask(asked); });
+    const bool begun = eventually([&] { return fleet.runs_of(asked.id) == 1; },
+                                  std::chrono::seconds(2));
+    const std::size_t other = fleet.engine(0).runs_of(asked.id) == 0 ? 0 : 1;
+    fleet.engine(other).set_fault(answer_fault::declines);
+    caller.join();
+    cr_assert(begun);
+    check_stream(got, asked, 10);
+}
