Test: an answer that arrives in pieces is taken for silence

What callers see: an answer without events that takes longer than 2.5 objectives to arrive is thrown away on the way and asked for again. The limit is set when the request is sent and not renewed in collect(); between two pieces the connection is quiet. The stand-in can send in pieces.

--- a/test/integration/silence_test.cpp
+++ b/test/integration/silence_test.cpp
@@ -169,3 +169,17 @@
     cr_assert(begun);
     check_stream(got, asked, 10);
 }
+
+// Guards against answers that are thrown away while they arrive: the limit for
+// the first answer held for the whole of it.
+Test(silence, an_answer_that_arrives_in_pieces_is_no_silence)
+{
+    direct_plan plan = one_endpoint_each();
+    plan.plain = 2;
+    direct_fleet fleet(plan);
+    for (std::size_t i = 0; i < 2; ++i)
+        fleet.plain(i).set_pieces(10, milliseconds(50));
+    const direct_call asked = fleet.make_call(0, "/look/1");
+    cr_expect_eq(ask(asked).status, 200U);
+    cr_expect_eq(fleet.runs_of(asked.id), 1);
+}
--- a/test/standins/direct_engine.cpp
+++ b/test/standins/direct_engine.cpp
@@ -62,7 +62,11 @@
 
 std::string direct_engine::plain_answer(const std::string& attempt_id) const
 {
-    const std::string body = "answer to " + attempt_id;
+    std::string body = "answer to " + attempt_id;
+    {
+        const std::lock_guard lock(mutex_);
+        body.append(padding_, '.');
+    }
     return header(attempt_id, "200 OK") +
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
@@ -128,6 +132,13 @@
     padding_ = bytes;
 }
 
+void direct_engine::set_pieces(std::size_t bytes, std::chrono::milliseconds gap)
+{
+    const std::lock_guard lock(mutex_);
+    piece_size_ = bytes;
+    piece_gap_ = gap;
+}
+
 std::chrono::milliseconds direct_engine::gap_before(long event) const
 {
     const std::lock_guard lock(mutex_);
@@ -176,6 +187,22 @@
     if (cut)
         bytes.resize(static_cast<std::size_t>(std::max(0L, left)));
     left -= static_cast<long>(bytes.size());
+    std::size_t piece = 0;
+    std::chrono::milliseconds gap{0};
+    {
+        const std::lock_guard lock(mutex_);
+        piece = piece_size_;
+        gap = piece_gap_;
+    }
+    while (piece > 0 && bytes.size() > piece)
+    {
+        auto [failed, some] = co_await asio::async_write(
+            stream, asio::buffer(bytes.data(), piece), as_result);
+        if (failed)
+            co_return false;
+        bytes.erase(0, piece);
+        co_await sleep_for(gap);
+    }
     auto [error, sent] =
         co_await asio::async_write(stream, asio::buffer(bytes), as_result);
     co_return !error && !cut;
--- a/test/standins/direct_engine.hpp
+++ b/test/standins/direct_engine.hpp
@@ -73,8 +73,10 @@
     /// From now on each stream pauses before this event, and each other answer
     /// before it begins.
     void set_pause(long before_event, std::chrono::milliseconds length);
-    /// Events are that much longer from now on.
+    /// Events and other answers are that much longer from now on.
     void set_padding(std::size_t bytes);
+    /// Sends in pieces of that size from now on, with a pause after each.
+    void set_pieces(std::size_t bytes, std::chrono::milliseconds gap);
     /// All answers say from now on that the endpoint leaves, or not.
     void set_leaving(bool leaving);
     [[nodiscard]] std::vector<arrival> arrivals() const;
@@ -112,6 +114,8 @@
     long paused_event_ = 0;
     std::chrono::milliseconds pause_{0};
     std::size_t padding_ = 0;
+    std::size_t piece_size_ = 0;
+    std::chrono::milliseconds piece_gap_{0};
     int fault_times_ = 0;
     std::string answer_before_;
     std::atomic<int> working_{0};
