Test: a long answer without events is cut while it arrives

What callers see: an answer without events of more than 256 KB on a resumable route is cut in the middle (LOST), once 2.5 objectives have passed since it was asked for, though its bytes keep coming. pass_on_rest() runs under the limit for the first answer; place_again() allows a repeat, whose answer without events cannot follow one that has begun.

--- a/test/integration/silence_test.cpp
+++ b/test/integration/silence_test.cpp
@@ -183,3 +183,25 @@
     cr_expect_eq(ask(asked).status, 200U);
     cr_expect_eq(fleet.runs_of(asked.id), 1);
 }
+
+// Guards against LOST: a long answer without events was cut in the middle while
+// it arrived, and no other endpoint can go on with one.
+Test(silence, a_long_answer_that_arrives_in_pieces_is_not_cut)
+{
+    static constexpr std::size_t size = 400 * 1024;
+    direct_plan plan = one_endpoint_each();
+    plan.engines = 2;
+    plan.events = 0;
+    direct_fleet fleet(plan);
+    for (std::size_t i = 0; i < 2; ++i)
+    {
+        fleet.engine(i).set_padding(size);
+        fleet.engine(i).set_pieces(16 * 1024, milliseconds(60));
+    }
+    const direct_call asked = fleet.make_call(0);
+    const direct_answer got = ask(asked);
+    cr_expect_eq(got.status, 200U);
+    cr_expect(got.whole, "%zu bytes", got.body.size());
+    cr_expect_geq(got.body.size(), size);
+    cr_expect_eq(fleet.runs_of(asked.id), 1);
+}
