Test: a request outlives its time while its caller reads nothing

What is seen: requests_open stays, and with it the request counts as work of its endpoint, for as long as a caller holds the connection and reads nothing. The limit on a request's time closes the connection to the endpoint only; the write to the caller goes on waiting.

--- a/test/integration/silence_test.cpp
+++ b/test/integration/silence_test.cpp
@@ -205,3 +205,26 @@
     cr_expect_geq(got.body.size(), size);
     cr_expect_eq(fleet.runs_of(asked.id), 1);
 }
+
+// Guards against requests that stay open, and count as work of their endpoint,
+// for as long as their caller keeps the connection and reads nothing.
+Test(silence, a_caller_that_reads_nothing_is_left_when_its_time_is_over)
+{
+    direct_plan plan = one_endpoint_each();
+    plan.events = 40;
+    plan.gap = milliseconds(1);
+    direct_fleet fleet(plan);
+    fleet.engine(0).set_padding(1024 * 1024);
+    direct_call asked = fleet.make_call(0);
+    asked.time_left_ms = 1000;
+    asked.read_after = milliseconds(4000);
+    std::thread caller([&] { ask(asked); });
+    std::this_thread::sleep_for(milliseconds(500));
+    const bool was_open =
+        fleet.says(fleet.at(0), "sycamorelock_requests_open 1");
+    std::this_thread::sleep_for(milliseconds(2000));
+    const bool ended = fleet.says(fleet.at(0), "sycamorelock_requests_open 0");
+    caller.join();
+    cr_assert(was_open);
+    cr_expect(ended);
+}
