Test: a cut at the end of a request's time is counted as another one

What operators see: cut_total and request_ended tell of an endpoint that cut a stream and of no other to go on with, where the request's own time was over.

--- a/test/integration/silence_test.cpp
+++ b/test/integration/silence_test.cpp
@@ -228,3 +228,18 @@
     cr_assert(was_open);
     cr_expect(ended);
 }
+
+// Guards against cuts at the end of a request's time that are counted as cuts
+// by its endpoint for which no other was left.
+Test(silence, a_stream_that_is_cut_at_its_time_is_counted_so)
+{
+    direct_fleet fleet(one_endpoint_each());
+    fleet.engine(0).set_pause(4, milliseconds(3000));
+    direct_call asked = fleet.make_call(0);
+    asked.time_left_ms = 1200;
+    cr_expect_not(ask(asked).whole);
+    const std::string metrics =
+        fleet.page(fleet.at(0).metrics_address(), "/metrics");
+    cr_expect(metrics.find("cut_total{reason=\"time_over") != std::string::npos,
+              "%s", metrics.substr(metrics.find("cut_total{"), 80).c_str());
+}
