Test: a request sent early is dropped at the drain

What callers see: the end of the connection without an answer (LOST), for a request that was sent while the answer before it was under way, at an instance that gets SIGTERM meanwhile. The answer had begun without "Connection: close". serve_one() ends the connection once the instance leaves, without a look at what was read or waits to be read; wait_for_request() does look, and so does the scheduled fleet. Nothing is logged or counted.

--- a/test/integration/drain_test.cpp
+++ b/test/integration/drain_test.cpp
@@ -3,6 +3,7 @@
 #include "direct_fleet.hpp"
 #include "plans.hpp"
 
+#include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
 using namespace standin;
@@ -204,3 +205,32 @@
         ask_across_linger(running.at(0).pid, direct_before_freeze, ask));
     wait_for_end(running.at(0));
 }
+
+// Guards against requests that were sent early, were read and are dropped with
+// their connection when the answer before them ends.
+Test(drain, a_request_sent_early_to_a_direct_instance_is_answered)
+{
+    direct_plan plan;
+    plan.instances = 1;
+    plan.gap = milliseconds(200);
+    direct_fleet running(plan);
+    asio::io_context context(1);
+    std::vector<beast::tcp_stream> streams;
+    connect(context, streams, 1, running);
+    tcp::socket& socket = streams.front().socket();
+    asio::write(socket,
+                asio::buffer(message_of(running.make_call(0)) +
+                             message_of(running.make_call(0, "/look/x"))));
+    std::this_thread::sleep_for(milliseconds(300));
+    kill(running.at(0).pid, SIGTERM);
+    beast::flat_buffer buffer;
+    std::array<http::response<http::string_body>, 2> got;
+    std::array<error_code, 2> errors;
+    for (std::size_t i = 0; i < 2; ++i)
+        http::read(socket, buffer, got[i], errors[i]);
+    cr_assert_not(errors[0]);
+    cr_assert(got[0].keep_alive());
+    cr_expect_not(errors[1], "%s", errors[1].message().c_str());
+    cr_expect(got[1].result_int() == 200 || got[1].result_int() == 503);
+    wait_for_end(running.at(0));
+}
--- a/test/standins/direct_fleet.cpp
+++ b/test/standins/direct_fleet.cpp
@@ -35,6 +35,20 @@
     return R"({"name":")" + name + R"(","api_keys":["key-)" + name + R"("]})";
 }
 
+asio::awaitable<void> run(const direct_call& what, direct_answer& got)
+{
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    stream.expires_after(what.leave_after.count() > 0
+                             ? what.leave_after
+                             : std::chrono::milliseconds(20000));
+    auto [unconnected] =
+        co_await stream.async_connect(endpoint_of(what.to), as_result);
+    if (!unconnected)
+        co_await ask_over(stream, what, got);
+}
+
+} // namespace
+
 std::string message_of(const direct_call& what)
 {
     std::string text = what.method + ' ' + what.path +
@@ -56,20 +70,6 @@
            "\r\n\r\n" + what.body;
 }
 
-asio::awaitable<void> run(const direct_call& what, direct_answer& got)
-{
-    beast::tcp_stream stream(co_await asio::this_coro::executor);
-    stream.expires_after(what.leave_after.count() > 0
-                             ? what.leave_after
-                             : std::chrono::milliseconds(20000));
-    auto [unconnected] =
-        co_await stream.async_connect(endpoint_of(what.to), as_result);
-    if (!unconnected)
-        co_await ask_over(stream, what, got);
-}
-
-} // namespace
-
 asio::awaitable<bool> ask_over(beast::tcp_stream& stream, direct_call what,
                                direct_answer& got)
 {
--- a/test/standins/direct_fleet.hpp
+++ b/test/standins/direct_fleet.hpp
@@ -151,6 +151,9 @@
 void describe_prompt(direct_call& what, long shared_tokens, long own_tokens,
                      long output_tokens);
 
+/// The request as it is sent.
+std::string message_of(const direct_call& what);
+
 direct_answer ask(const direct_call& what);
 
 /// Asks over an open connection, which may be used again if the result is true.
