Test: a late instance ejects endpoints to which it sent nothing

What callers see: fewer endpoints than serve, at all instances of the scheduled fleet. An attempt whose lease has run out before it is sent, or whose endpoint the instance does not know, ends as nothing_sent; entry::finish() releases it as endpoint_failed, and endpoint_pool counts a failure of the endpoint.

--- a/packages/core/unittests/regression_test.cpp
+++ b/packages/core/unittests/regression_test.cpp
@@ -51,3 +51,16 @@
     cr_assert_eq(fleet.outcomes().at(id).completed, 1);
     cr_assert_eq(fleet.outcomes().at(id).runs, 1);
 }
+
+// Guards against endpoints that are ejected for all instances because one that
+// was late let a lease pass and sent them nothing.
+Test(regression, an_attempt_that_was_not_sent_ejects_no_endpoint)
+{
+    fake_fleet fleet({});
+    fleet.advance(std::chrono::seconds(3));
+    fleet.set_chances({.nothing_sent = 100});
+    for (int i = 0; i < 10; ++i)
+        fleet.submit(0, 0);
+    fleet.advance(std::chrono::seconds(10));
+    cr_expect_eq(fleet.events(event_number::endpoint_ejected), 0);
+}
