--- a/test/integration/silence_test.cpp
+++ b/test/integration/silence_test.cpp
@@ -148,3 +148,98 @@
     cr_expect_gt(got.body.size(), 40U * 256 * 1024);
     cr_expect_eq(fleet.runs_of(asked.id), 1);
 }
+
+// Guards against LOST: a stream was cut because the endpoint that was to go on
+// with it declined, though the one that was left had only paused.
+Test(silence, a_stream_stays_with_its_endpoint_until_another_has_taken_it)
+{
+    direct_plan plan = one_endpoint_each();
+    plan.engines = 2;
+    direct_fleet fleet(plan);
+    for (std::size_t i = 0; i < 2; ++i)
+        fleet.engine(i).set_pause(4, long_pause);
+    const direct_call asked = fleet.make_call(0);
+    direct_answer got;
+    std::thread caller([&] { got = ask(asked); });
+    const bool begun = eventually([&] { return fleet.runs_of(asked.id) == 1; },
+                                  std::chrono::seconds(2));
+    const std::size_t other = fleet.engine(0).runs_of(asked.id) == 0 ? 0 : 1;
+    fleet.engine(other).set_fault(answer_fault::declines);
+    caller.join();
+    cr_assert(begun);
+    check_stream(got, asked, 10);
+}
+
+// Guards against answers that are thrown away while they arrive: the limit for
+// the first answer held for the whole of it.
+Test(silence, an_answer_that_arrives_in_pieces_is_no_silence)
+{
+    direct_plan plan = one_endpoint_each();
+    plan.plain = 2;
+    direct_fleet fleet(plan);
+    for (std::size_t i = 0; i < 2; ++i)
+        fleet.plain(i).set_pieces(10, milliseconds(50));
+    const direct_call asked = fleet.make_call(0, "/look/1");
+    cr_expect_eq(ask(asked).status, 200U);
+    cr_expect_eq(fleet.runs_of(asked.id), 1);
+}
+
+// Guards against LOST: a long answer without events was cut in the middle while
+// it arrived, and no other endpoint can go on with one.
+Test(silence, a_long_answer_that_arrives_in_pieces_is_not_cut)
+{
+    static constexpr std::size_t size = 400 * 1024;
+    direct_plan plan = one_endpoint_each();
+    plan.engines = 2;
+    plan.events = 0;
+    direct_fleet fleet(plan);
+    for (std::size_t i = 0; i < 2; ++i)
+    {
+        fleet.engine(i).set_padding(size);
+        fleet.engine(i).set_pieces(16 * 1024, milliseconds(60));
+    }
+    const direct_call asked = fleet.make_call(0);
+    const direct_answer got = ask(asked);
+    cr_expect_eq(got.status, 200U);
+    cr_expect(got.whole, "%zu bytes", got.body.size());
+    cr_expect_geq(got.body.size(), size);
+    cr_expect_eq(fleet.runs_of(asked.id), 1);
+}
+
+// Guards against requests that stay open, and count as work of their endpoint,
+// for as long as their caller keeps the connection and reads nothing.
+Test(silence, a_caller_that_reads_nothing_is_left_when_its_time_is_over)
+{
+    direct_plan plan = one_endpoint_each();
+    plan.events = 40;
+    plan.gap = milliseconds(1);
+    direct_fleet fleet(plan);
+    fleet.engine(0).set_padding(1024 * 1024);
+    direct_call asked = fleet.make_call(0);
+    asked.time_left_ms = 1000;
+    asked.read_after = milliseconds(4000);
+    std::thread caller([&] { ask(asked); });
+    std::this_thread::sleep_for(milliseconds(500));
+    const bool was_open =
+        fleet.says(fleet.at(0), "sycamorelock_requests_open 1");
+    std::this_thread::sleep_for(milliseconds(2000));
+    const bool ended = fleet.says(fleet.at(0), "sycamorelock_requests_open 0");
+    caller.join();
+    cr_assert(was_open);
+    cr_expect(ended);
+}
+
+// Guards against cuts at the end of a request's time that are counted as cuts
+// by its endpoint for which no other was left.
+Test(silence, a_stream_that_is_cut_at_its_time_is_counted_so)
+{
+    direct_fleet fleet(one_endpoint_each());
+    fleet.engine(0).set_pause(4, milliseconds(3000));
+    direct_call asked = fleet.make_call(0);
+    asked.time_left_ms = 1200;
+    cr_expect_not(ask(asked).whole);
+    const std::string metrics =
+        fleet.page(fleet.at(0).metrics_address(), "/metrics");
+    cr_expect(metrics.find("cut_total{reason=\"time_over") != std::string::npos,
+              "%s", metrics.substr(metrics.find("cut_total{"), 80).c_str());
+}
