An answer that arrives in pieces is no silence

What callers saw: a second run of a request whose answer took longer to arrive than 2.5 objectives, or an answer without events cut in the middle (LOST), as no endpoint can go on with one. Cause: the limit for the first answer was renewed by events only, so that it held for the whole of any other answer. Each piece renews it now. Before: two runs of an answer of 0.6 s in pieces of 50 ms; 278,424 of 409,600 bytes and two runs; after: whole, one run (silence/an_answer_that_arrives_in_pieces_is_no_silence, silence/a_long_answer_that_arrives_in_pieces_is_not_cut).

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -204,6 +204,7 @@
 
 void attempt::expect_within(milliseconds time)
 {
+    awaited_ = time;
     context_.limits.set(silence_, now() + time,
                         [this, time]
                         {
@@ -369,6 +370,8 @@
     auto [error, bytes] = co_await http::async_read_some(
         channel_->socket, channel_->buffer, *parser_, as_result);
     piece_size_ = piece_.size() - body.size;
+    if (piece_size_ > 0 && awaited_.count() > 0)
+        expect_within(awaited_);
     if (error == http::error::need_buffer)
         error = {};
     co_return error;
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -139,6 +139,8 @@
     std::size_t piece_size_ = 0;
     held_answer held_;
     watchdog::limit silence_;
+    /// Time within which something is expected of the endpoint; zero for none.
+    milliseconds awaited_{0};
     core::time_point sent_at_;
     unsigned status_ = 0;
     std::string_view why_;
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -152,7 +152,7 @@
     busy_ = false;
     // A connection that an answer has kept open takes what its caller sends
     // next, also when the instance has begun to leave since.
-    co_return keep_ && socket_.is_open();
+    co_return keep_&& socket_.is_open();
 }
 
 asio::awaitable<void> request_session::answer_unreadable(error_code error)
