A caller that takes nothing is left when its request's time is over

What operators saw: requests that stay open, and count as work of their endpoint, for as long as their caller keeps the connection and reads nothing. Cause: the end of a request's time closed the endpoint's connection only, and a write to the caller waits without a limit. The caller's connection is closed then too, which shows the answer as cut.

--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -75,6 +75,8 @@
     /// Closes the connection to the endpoint, which then drops the request.
     void abandon();
 
+    /// Whether a piece of the answer waits for the caller to take it.
+    [[nodiscard]] bool is_passing_on() const { return passing_on_; }
     [[nodiscard]] held_answer& held() { return held_; }
     /// Status of the endpoint's answer, 0 if there was none.
     [[nodiscard]] unsigned status() const { return status_; }
@@ -149,7 +151,6 @@
     core::duration longest_pause_{0};
     bool abandoned_ = false;
     bool silent_ = false;
-    /// A piece waits for the caller to take it.
     bool passing_on_ = false;
 };
 
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -513,8 +513,12 @@
 void request_session::stop_request(stop why)
 {
     stop_ = why;
-    if (attempt_ != nullptr)
-        attempt_->abandon();
+    if (attempt_ == nullptr)
+        return;
+    attempt_->abandon();
+    // A caller that takes nothing would keep its request open.
+    if (attempt_->is_passing_on())
+        cut();
 }
 
 void request_session::watch_caller()
