A stream that is cut at the end of its time is counted so

Cause: the reason of the attempt that was given up (stream_cut) and of an earlier ask for another endpoint stood in the log and in sycamorelock_cut_total, as if the endpoint had cut the stream. Found by the review.

--- a/packages/adapters/lib/direct/request_log.cpp
+++ b/packages/adapters/lib/direct/request_log.cpp
@@ -34,6 +34,14 @@
     return ms_text(request.first - request.profile.arrived);
 }
 
+std::string cut_reason(const open_request& request)
+{
+    std::string reason(request.stopped_by);
+    if (!request.not_repeated.empty())
+        reason.append("/").append(request.not_repeated);
+    return reason;
+}
+
 std::string text_or_none(std::string_view text)
 {
     return std::string(text.empty() ? "none" : text);
@@ -135,8 +143,7 @@
     if (request.longest_pause > core::duration(0))
         of.pause.record(seconds(request.longest_pause));
     if (outcome == "cut")
-        ++context_.metrics.cut[std::string(request.stopped_by) + '/' +
-                               std::string(request.not_repeated)];
+        ++context_.metrics.cut[cut_reason(request)];
     context_.log.write(direct_event::request_ended,
                        {{"request", request.meta.attempt_id},
                         {"outcome", std::string(outcome)},
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -452,6 +452,11 @@
     if (out_.begun())
     {
         cut();
+        if (stop_ == stop::time_over)
+        {
+            request.stopped_by = "time_over";
+            request.not_repeated = {};
+        }
         log_.ended(request, "cut", 0);
         co_return;
     }
