--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -205,6 +205,7 @@
 void attempt::expect_within(milliseconds time)
 {
     awaited_ = time;
+    buffered_ = channel_->buffer.size();
     context_.limits.set(silence_, now() + time,
                         [this, time]
                         {
@@ -221,7 +222,8 @@
     // What has arrived and is not read yet is no silence: this instance is
     // late, or its caller is slow. An endpoint that pauses is left only for
     // another one.
-    const bool is_silent = connection == socket_state::quiet && !passing_on_;
+    const bool is_silent = connection == socket_state::quiet && !passing_on_ &&
+                           channel_->buffer.size() == buffered_;
     if (is_silent && request_.secure_next(unfinished_end()))
         give_up_silent();
     else
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -143,6 +143,9 @@
     watchdog::limit silence_;
     /// Time within which something is expected of the endpoint; zero for none.
     milliseconds awaited_{0};
+    /// Bytes read and not used when the limit was set: a header that arrives in
+    /// pieces.
+    std::size_t buffered_ = 0;
     core::time_point sent_at_;
     unsigned status_ = 0;
     std::string_view why_;
