Test: an endpoint is set aside as the instance has no descriptor

What callers see: 503 although every endpoint is up and free, for half a second and up to four, after an instance ran out of descriptors. attempt::connect() does not look at why it failed: the router hears that the endpoint is unreachable, sets it aside and limits it as one that may be cold.

--- a/test/integration/descriptors_test.cpp
+++ b/test/integration/descriptors_test.cpp
@@ -234,6 +234,23 @@
                  lines_of(log(), "accept_failed", listener));
 }
 
+asio::awaitable<void> keep_asking(beast::tcp_stream& kept, direct_call asked,
+                                  direct_answer& got)
+{
+    co_await ask_over(kept, asked, got);
+}
+
+/// Status of an answer over a connection that stands.
+unsigned status_over(beast::tcp_stream& kept, const direct_call& asked,
+                     asio::io_context& io)
+{
+    direct_answer got;
+    asio::co_spawn(io, keep_asking(kept, asked, got), asio::detached);
+    io.restart();
+    io.run();
+    return got.status;
+}
+
 } // namespace
 
 Test(descriptors, a_fresh_instance_outlives_a_shortage, .timeout = 60)
@@ -445,3 +462,25 @@
     cr_expect_eq(status_of(only.metrics_address(), "/metrics", seconds(4)),
                  200U);
 }
+
+// Guards against endpoints that are set aside because the instance itself had
+// no descriptor for a connection to them.
+Test(descriptors, an_instance_without_descriptors_sets_no_endpoint_aside,
+     .timeout = 60)
+{
+    direct_plan plan = one_direct_instance();
+    plan.plain = 1;
+    direct_fleet running(plan);
+    asio::io_context io;
+    beast::tcp_stream kept(io);
+    kept.connect(endpoint_of(running.at(0).caller_address()));
+    std::this_thread::sleep_for(milliseconds(200));
+    {
+        const shortage_of none_left(running.at(0).pid);
+        cr_assert_eq(status_over(kept, running.make_call(0, "/look/1"), io),
+                     503U);
+    }
+    const unsigned status =
+        status_over(kept, running.make_call(0, "/look/1"), io);
+    cr_expect_eq(status, 200U, "%u", status);
+}
