Releases of resumable streams: types and signatures

What two software versions of a service write does not fit together, and nothing here knows which one began a stream. This adds the types (release_id, stream_key, stream_note), the module stream_releases and the router's functions without their bodies, so that those who call them can build; nothing uses them yet. install takes the time: what a configuration moves counts from then on.

--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -293,7 +293,7 @@
     std::shared_ptr<const core::direct::catalogue> newer)
 {
     asio::post(impl_->io(), [impl = impl_, newer = std::move(newer)]
-               { impl->router().install(newer); });
+               { impl->router().install(now(), newer); });
 }
 
 void traffic_plane::set_endpoints(
--- a/packages/core/include/sycamorelock/core/direct/endpoint_registry.hpp
+++ b/packages/core/include/sycamorelock/core/direct/endpoint_registry.hpp
@@ -2,6 +2,7 @@
 // what is known while the platform is away.
 #pragma once
 
+#include "sycamorelock/core/direct/release.hpp"
 #include "sycamorelock/core/strong_types.hpp"
 
 #include <map>
@@ -31,10 +32,17 @@
     /// How much longer it warmed up when it wrote the entry; zero if it is
     /// warm.
     std::chrono::milliseconds warmup_left{0};
+    /// Version of its software; empty if it does not tell.
+    std::string version{};
 
     /// Tells two starts apart: a new one keeps and runs nothing of before, so
     /// nothing that is believed of the old one may hold for it.
     [[nodiscard]] endpoint_id id() const;
+    /// A digest, made anew by each call.
+    [[nodiscard]] release_id release() const
+    {
+        return release_of(service, version);
+    }
 };
 
 class endpoint_registry
--- a/packages/core/include/sycamorelock/core/direct/exchange.hpp
+++ b/packages/core/include/sycamorelock/core/direct/exchange.hpp
@@ -7,6 +7,7 @@
 #include "sycamorelock/core/direct/engine_estimator.hpp"
 #include "sycamorelock/core/direct/load_ledger.hpp"
 #include "sycamorelock/core/direct/prefix_cache.hpp"
+#include "sycamorelock/core/direct/stream_releases.hpp"
 
 #include <optional>
 #include <string>
@@ -121,6 +122,13 @@
     store_view store;
     /// The sender has started and does not know what engines keep.
     bool wants_caches = false;
+    /// Streams sent since the previous report whose release others cannot tell
+    /// without.
+    std::vector<stream_note> streams;
+    /// The sender does not know which streams others have sent.
+    bool wants_streams = false;
+    /// In a copy, with `streams`: what the sender knows of releases.
+    std::optional<release_history> releases;
 };
 
 } // namespace sycamorelock::core::direct
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -17,6 +17,7 @@
 #include "sycamorelock/core/direct/prompt_homes.hpp"
 #include "sycamorelock/core/direct/rate_meter.hpp"
 #include "sycamorelock/core/direct/slow_start.hpp"
+#include "sycamorelock/core/direct/stream_releases.hpp"
 #include "sycamorelock/core/retry_budget.hpp"
 
 #include <memory>
@@ -42,6 +43,8 @@
     time_point deadline;
     /// How the account stood when the request came.
     account_standing standing;
+    /// The only release that may go on with the stream; none: any may begin.
+    std::optional<release_id> release;
 
     /// Tokens that count against the share of the account: generated ones cost
     /// about twice as much as those that are read.
@@ -68,6 +71,10 @@
     beyond_share,
     /// No time is left.
     too_late,
+    /// A stream is resumed, and nobody who can be reached knows its release.
+    release_unknown,
+    /// No endpoint of the stream's release is listed that does not leave.
+    release_gone,
 };
 std::string_view to_string(refusal reason);
 
@@ -128,9 +135,20 @@
     drained,
     /// The endpoint warms up and has got what it may get of this instance.
     warming_up,
+    /// The endpoint's entry tells of another release by now.
+    other_release,
 };
 std::string_view to_string(withheld_reason reason);
 
+/// Where a stream that a caller resumes may go on.
+struct stream_resolution
+{
+    stream_source source = stream_source::unknown;
+    /// That of the stream, one of its route's; with `release` if it is known.
+    service_id service;
+    std::optional<release_id> release;
+};
+
 /// What operators let an endpoint get in any second while it warms up.
 struct warmup_bounds
 {
@@ -160,7 +178,7 @@
   public:
     explicit router(router_options options);
 
-    void install(std::shared_ptr<const catalogue> newer);
+    void install(time_point now, std::shared_ptr<const catalogue> newer);
     [[nodiscard]] const std::shared_ptr<const catalogue>& config() const
     {
         return config_;
@@ -219,6 +237,42 @@
     [[nodiscard]] std::optional<milliseconds> rest_pause(time_point now,
                                                          service_id service);
 
+    /// Up to when the endpoints known here were right.
+    void set_endpoints_current(time_point now, time_point at)
+    {
+        streams_.set_current(now, at);
+    }
+    /// Finds out where a stream may go on.
+    /// \param key of the caller's attempt that began it; none if the caller
+    /// named none.
+    [[nodiscard]] stream_resolution resolve(time_point now,
+                                            std::optional<stream_key> key,
+                                            const route& way) const;
+    /// A stream that callers may resume is sent to an endpoint.
+    /// \param attempt its number, from 1.
+    void note_stream(time_point now, stream_key key,
+                     const placement_decision& at, unsigned attempt);
+    /// A resumed stream is sent to an endpoint of its release.
+    /// \param key of the attempt that began it.
+    void note_resumed(time_point now, stream_key key,
+                      const placement_decision& at);
+    /// The caller has got all of a stream.
+    void end_stream(time_point now, stream_key key) { streams_.end(now, key); }
+    /// Streams of other instances.
+    void on_streams(time_point now, std::span<const stream_note> told)
+    {
+        streams_.hear(now, told);
+    }
+    /// What is known of streams, for an instance that has started; nothing if
+    /// that is too little.
+    [[nodiscard]] std::optional<stream_copy> copy_streams(time_point now) const;
+    /// Takes over what another instance knew of them.
+    void adopt_streams(time_point now, const stream_copy& known)
+    {
+        streams_.adopt(now, known);
+    }
+    [[nodiscard]] const stream_releases& streams() const { return streams_; }
+
     /// Takes a repeat from the budget; false if it is spent.
     bool spend_retry(service_id service);
 
@@ -260,8 +314,9 @@
     struct endpoint_state
     {
         endpoint_record record;
-        /// That of the record, which takes a digest to make.
+        /// Those of the record, which take a digest to make.
         endpoint_id id;
+        release_id release;
         endpoint_health health;
         /// It said so in an answer.
         bool said_leaving = false;
@@ -437,6 +492,12 @@
                                      double wait_ms, double allowed_ms);
     refusal_decision refuse_without_endpoint(time_point now,
                                              service_id service);
+    refusal_decision refuse_without_release(time_point now, service_id service,
+                                            release_id release);
+    /// Tells the streams which releases have endpoints.
+    void tell_releases(time_point now);
+    /// The longest time of a stream, and routes that lead elsewhere by now.
+    void tell_routes(time_point now, const catalogue& newer);
     refusal_decision refuse_far_beyond(const request_profile& asked);
     /// Tokens of prompts that an endpoint has room for; 0 if it is not known
     /// or no engine.
@@ -472,6 +533,7 @@
     account_shares shares_;
     std::map<service_id, retry_budget> budgets_;
     std::vector<cache_note> notes_;
+    stream_releases streams_;
     /// A long prompt was sent since the last report.
     bool urgent_ = false;
     /// Largest number of instances seen.
--- /dev/null
+++ b/packages/core/include/sycamorelock/core/direct/stream_releases.hpp
@@ -0,0 +1,228 @@
+// Which release began each resumable stream. What two releases write does not
+// fit together, so a stream may go on only at the one that began it.
+#pragma once
+
+#include "sycamorelock/core/direct/release.hpp"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace sycamorelock::core::direct
+{
+
+using std::chrono::milliseconds;
+
+/// A stream and the release that it was sent to.
+struct stream_note
+{
+    stream_key key;
+    service_id service;
+    release_id release;
+    /// Number of the attempt, from 1; of one stream the highest holds, as an
+    /// attempt that brought nothing may be repeated elsewhere. 0: resumed.
+    unsigned attempt = 1;
+
+    bool operator==(const stream_note&) const = default;
+};
+
+/// A release that has endpoints, or had some lately.
+struct release_sight
+{
+    service_id service;
+    release_id release;
+    /// Since one was listed last; zero if one is.
+    milliseconds age{0};
+
+    bool operator==(const release_sight&) const = default;
+};
+
+/// Releases that streams may have begun at.
+struct release_history
+{
+    std::vector<release_sight> seen;
+    /// No release that had endpoints within the time for which streams are
+    /// remembered is missing.
+    bool complete = false;
+
+    bool operator==(const release_history&) const = default;
+};
+
+/// What an instance that has just started cannot know by itself.
+struct stream_copy
+{
+    std::vector<stream_note> streams;
+    release_history releases;
+};
+
+/// How the release of a stream became known.
+enum class stream_source : std::uint8_t
+{
+    /// It is not known.
+    unknown,
+    /// This instance sent it.
+    own,
+    /// Another instance told it.
+    told,
+    /// The service has had endpoints of no other release.
+    sole,
+};
+std::string_view to_string(stream_source source);
+
+class stream_releases
+{
+  public:
+    /// Bounds on the time for which a stream is remembered.
+    static constexpr duration least_kept = std::chrono::seconds(10);
+    static constexpr duration most_kept = std::chrono::seconds(60);
+    /// Streams of other instances that are remembered; the oldest are dropped
+    /// beyond it. The design size begins 1,200 a second.
+    static constexpr std::size_t most_told = 80'000;
+    /// The same for streams of this instance.
+    static constexpr std::size_t most_own = 20'000;
+    /// Releases of a service that are remembered.
+    static constexpr std::size_t most_releases = 64;
+    /// News of endpoints that is older may lack a release. A quiet store
+    /// answers every two seconds.
+    static constexpr duration fresh_for = std::chrono::milliseconds(2500);
+    /// Two instances may see a release come and go this much apart.
+    static constexpr duration listing_skew = 2 * fresh_for;
+    /// An instance that has started asks others for what they know, and for no
+    /// longer than this.
+    static constexpr duration patience = std::chrono::seconds(3);
+    /// Whoever has watched for less than others ask knows no more than they.
+    static constexpr duration settled_after = patience;
+    /// Whoever has not resumed a stream this long after its end seldom does.
+    static constexpr duration ended_for = std::chrono::seconds(5);
+    /// Streams that a copy tells of.
+    static constexpr std::size_t most_copied = 40'000;
+
+    /// The longest time of a stream; it may break at its end and be resumed
+    /// for as long.
+    void set_longest(milliseconds timeout);
+    [[nodiscard]] duration kept_for() const { return kept_for_; }
+
+    /// Endpoints of these releases are listed, and of no others.
+    void set_listed(time_point now,
+                    const std::map<service_id, std::set<release_id>>& listed);
+    /// Up to when the listing was right.
+    void set_current(time_point now, time_point at);
+    /// Streams of routes that lead to this service now may have begun at
+    /// another one.
+    void note_moved(time_point now, service_id service);
+    /// Services that share a route with others: which of them began a stream
+    /// is not plain.
+    void set_shared(std::set<service_id> services);
+
+    /// A stream of this instance is sent to a release.
+    /// \return whether others may take it for that of another release until
+    /// they are told.
+    bool note(time_point now, const stream_note& sent);
+    /// The same for a stream that was begun before, maybe elsewhere.
+    void note_resumed(time_point now, const stream_note& sent);
+    /// Its caller has got all of it.
+    void end(time_point now, stream_key key);
+    /// Streams of other instances.
+    void hear(time_point now, std::span<const stream_note> told);
+
+    struct finding
+    {
+        stream_source source = stream_source::unknown;
+        service_id service;
+        release_id release;
+    };
+    /// The release of a stream that was sent here or told.
+    [[nodiscard]] finding find(time_point now, stream_key key) const;
+    /// The only release that streams of a service can have begun at.
+    [[nodiscard]] std::optional<release_id> sole(time_point now,
+                                                 service_id service) const;
+
+    /// Whether others may be unable to tell the release of a service's streams.
+    [[nodiscard]] bool must_tell(time_point now, service_id service) const;
+    /// What they must be told, each stream once.
+    [[nodiscard]] std::vector<stream_note> take_untold(time_point now);
+
+    /// Whether this instance lacks what a copy would bring.
+    [[nodiscard]] bool wants_copy(time_point now) const;
+    [[nodiscard]] bool may_give(time_point now) const;
+    [[nodiscard]] stream_copy copy(time_point now) const;
+    void adopt(time_point now, const stream_copy& known);
+
+    /// Drops what is too old.
+    void sweep(time_point now);
+
+    [[nodiscard]] std::size_t kept() const
+    {
+        return own_.size() + told_.size();
+    }
+    /// Dropped before their time since there were too many.
+    [[nodiscard]] std::uint64_t dropped() const { return dropped_; }
+
+  private:
+    struct entry
+    {
+        service_id service;
+        release_id release;
+        unsigned attempt = 0;
+        time_point at;
+    };
+    struct own_entry : entry
+    {
+        std::optional<time_point> ended;
+        bool is_told = false;
+    };
+    struct noted
+    {
+        time_point at;
+        stream_key key;
+    };
+    /// Releases of a service, and when endpoints of each were listed last.
+    struct history
+    {
+        std::map<release_id, time_point> seen;
+        std::set<release_id> listed;
+        /// Routes led to it from another service.
+        std::optional<time_point> moved;
+    };
+
+    [[nodiscard]] bool is_fresh(time_point now) const
+    {
+        return now - current_at_ <= fresh_for;
+    }
+    /// Whether no release can be missing from the history.
+    [[nodiscard]] bool is_complete(time_point now) const;
+    [[nodiscard]] duration history_for() const
+    {
+        return kept_for_ + listing_skew;
+    }
+    void see(time_point at, service_id service, release_id release);
+    /// Whether a note says nothing newer than what is known.
+    [[nodiscard]] static bool is_older(const entry& known,
+                                       const stream_note& than);
+    template <class Entry>
+    void drop_old(time_point now, std::unordered_map<stream_key, Entry>& from,
+                  std::deque<noted>& order, std::size_t most);
+
+    duration kept_for_ = least_kept;
+    std::map<service_id, history> services_;
+    time_point current_at_;
+    /// Since when no release can have been missed.
+    std::optional<time_point> watched_since_;
+    /// A copy has come since then.
+    bool informed_ = false;
+    std::set<service_id> shared_;
+    std::unordered_map<stream_key, own_entry> own_;
+    std::unordered_map<stream_key, entry> told_;
+    /// Streams of this instance that it has not told.
+    std::vector<stream_key> untold_;
+    /// Oldest first; a stream that was noted again is in it twice.
+    std::deque<noted> own_order_;
+    std::deque<noted> told_order_;
+    std::uint64_t dropped_ = 0;
+};
+
+} // namespace sycamorelock::core::direct
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -63,6 +63,10 @@
         return "beyond_share";
     case refusal::too_late:
         return "too_late";
+    case refusal::release_unknown:
+        return "release_unknown";
+    case refusal::release_gone:
+        return "release_gone";
     }
     return "unknown";
 }
@@ -81,6 +85,8 @@
         return "drained";
     case withheld_reason::warming_up:
         return "warming_up";
+    case withheld_reason::other_release:
+        return "other_release";
     }
     return "unknown";
 }
@@ -91,8 +97,9 @@
 {
 }
 
-void router::install(std::shared_ptr<const catalogue> newer)
+void router::install(time_point now, std::shared_ptr<const catalogue> newer)
 {
+    tell_routes(now, *newer);
     config_ = std::move(newer);
     renew_guesses();
     for (auto& [id, state] : endpoints_)
--- a/packages/core/unittests/direct_fixture.hpp
+++ b/packages/core/unittests/direct_fixture.hpp
@@ -48,7 +48,7 @@
         config->routes = {way};
         config->limits.tokens_per_second = tokens_per_second;
         config->index();
-        decides.install(config);
+        decides.install(start, config);
         list({"one", "two"});
     }
 
--- a/packages/core/unittests/direct_slow_start_test.cpp
+++ b/packages/core/unittests/direct_slow_start_test.cpp
@@ -220,7 +220,7 @@
     {
         config->services[drafts].warmup = milliseconds(3000);
         config->services[drafts].warmup_per_second = 2;
-        decides.install(config);
+        decides.install(start, config);
         decides.set_members(start - seconds(10), {});
     }
 
@@ -296,7 +296,7 @@
     cr_expect_gt(fix.reach("old", start, 1000).size(), 50U);
     // Nor one whose service knows none, whatever its entry says.
     fix.config->services[drafts].warmup = milliseconds(0);
-    fix.decides.install(fix.config);
+    fix.decides.install(start, fix.config);
     fix.list_at(at(1000), {fixture::record("odd", 60000)});
     cr_expect_gt(fix.reach("odd", at(1000), 1000).size(), 50U);
 }
@@ -306,12 +306,12 @@
 {
     fixture fix;
     fix.config->services[drafts].warmup = milliseconds(0);
-    fix.decides.install(fix.config);
+    fix.decides.install(start, fix.config);
     fix.list_at(start, {fixture::record("new", 3000)});
     auto newer = std::make_shared<catalogue>(*fix.config);
     newer->services[drafts].warmup = milliseconds(3000);
     newer->index();
-    fix.decides.install(newer);
+    fix.decides.install(start, newer);
     cr_expect_eq(fix.reach("new", start, 1000).size(), 2U);
 }
 
--- a/test/model/direct_world.cpp
+++ b/test/model/direct_world.cpp
@@ -126,7 +126,7 @@
         options.seed = plan_.seed + i;
         options.mechanisms = plan_.mechanisms;
         routers_.push_back(std::make_unique<direct::router>(options));
-        routers_.back()->install(config_);
+        routers_.back()->install(at(0), config_);
         routers_.back()->set_fleet_size(plan_.routers);
     }
     list_engines();
