Log versions of endpoints and streams that are resumed

No line told which software version a request went to, nor that a request goes on with a stream that another attempt began. A name in Resumes that no attempt can have names none.

No decision is changed.

--- a/packages/adapters/include/sycamorelock/adapters/direct/dialect.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/dialect.hpp
@@ -35,6 +35,9 @@
     std::string api_key;
     /// Number of the last event that the caller has of a stream.
     std::optional<std::uint64_t> last_event;
+    /// Attempt that brought the first event of the stream that this request
+    /// goes on with; empty if the caller names none that can be one.
+    std::string resumes;
     std::vector<core::direct::prompt_part> parts;
     double prompt_tokens = 0;
     double output_tokens = 0;
--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
@@ -35,6 +35,8 @@
     std::map<std::string, std::uint64_t> retried;
     std::map<std::string, std::uint64_t> ended;
     std::map<std::string, std::uint64_t> withheld;
+    /// By whether the caller names the attempt that began the stream.
+    std::map<std::string, std::uint64_t> resumed;
     std::map<std::string, std::unique_ptr<service_latency>> latency;
 
     service_latency& of(const std::string& service)
--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -65,6 +65,7 @@
     attempt_repeated = 3004,
     foreign_answer = 3005,
     request_rejected = 3006,
+    stream_resumed = 3008,
     endpoint_seen = 3101,
     endpoint_draining = 3102,
     endpoint_gone = 3103,
--- a/packages/adapters/lib/direct/open_request.hpp
+++ b/packages/adapters/lib/direct/open_request.hpp
@@ -29,6 +29,12 @@
     bool may_have_run = false;
     event_splitter events;
 
+    /// Whether it goes on with a stream that another attempt began.
+    [[nodiscard]] bool resumes_stream() const
+    {
+        return (meta.last_event || !meta.resumes.empty()) &&
+               profile.way->resumable;
+    }
     /// Host field without a port.
     [[nodiscard]] std::string_view host() const
     {
--- a/packages/adapters/lib/direct/request_log.cpp
+++ b/packages/adapters/lib/direct/request_log.cpp
@@ -77,6 +77,21 @@
          {"config", std::to_string(request.config->version)}});
 }
 
+void request_log::resumed(const open_request& request)
+{
+    const std::string& begun_by = request.meta.resumes;
+    ++context_.metrics.resumed[begun_by.empty() ? "unnamed" : "named"];
+    context_.log.write(
+        direct_event::stream_resumed,
+        {{"request", request.meta.attempt_id},
+         {"route", request.profile.way->name},
+         {"account", request.account_name},
+         {"resumes", begun_by.empty() ? "none" : begun_by},
+         {"last_event", request.meta.last_event
+                            ? std::to_string(*request.meta.last_event)
+                            : "none"}});
+}
+
 void request_log::placed(const open_request& request,
                          const core::direct::placement_decision& decided)
 {
@@ -86,6 +101,7 @@
          {"route", request.profile.way->name},
          {"account", request.account_name},
          {"endpoint", decided.endpoint.boot},
+         {"version", decided.endpoint.version},
          {"news_ms", ms_text(context_.endpoint_news.at(now()))},
          {"attempt", std::to_string(request.attempts)},
          {"predicted_ms", ms_text(decided.predicted_ms)},
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -219,6 +219,8 @@
     if (!co_await prepare(request))
         co_return;
     ++context_.metrics.accepted;
+    if (request.resumes_stream())
+        log_.resumed(request);
     auto decided = context_.router.decide(
         now(), request.profile, request.service, request.tried, false);
     if (const auto* refused = std::get_if<refusal_decision>(&decided))
--- a/packages/adapters/lib/direct/traffic_metrics.cpp
+++ b/packages/adapters/lib/direct/traffic_metrics.cpp
@@ -53,6 +53,10 @@
              "Attempts not sent, by what had become known of the endpoint "
              "since it was chosen.",
              withheld);
+    labelled(out, "resumed_total", "stream",
+             "Requests that go on with a stream that another attempt began, by "
+             "whether they name it.",
+             resumed);
     labelled(out, "ended_total", "outcome", "Requests ended, by outcome.",
              ended);
     distributions(out, "first_seconds",
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -123,6 +123,8 @@
     event_kind{3006, info, "request_rejected",
                "The configuration in force does not allow a request, or there "
                "is none yet."},
+    event_kind{3008, info, "stream_resumed",
+               "A request goes on with a stream that another attempt began."},
     event_kind{3101, info, "endpoint_seen",
                "An endpoint registered or changed its entry."},
     event_kind{3102, info, "endpoint_drains",
