--- a/test/standins/direct_engine.cpp
+++ b/test/standins/direct_engine.cpp
@@ -113,6 +113,18 @@
     boot_ = boot;
 }
 
+std::string direct_engine::version() const
+{
+    const std::lock_guard lock(mutex_);
+    return version_;
+}
+
+void direct_engine::set_version(const std::string& version)
+{
+    const std::lock_guard lock(mutex_);
+    version_ = version;
+}
+
 void direct_engine::set_leaving(bool leaving)
 {
     const std::lock_guard lock(mutex_);
--- a/test/standins/direct_engine.hpp
+++ b/test/standins/direct_engine.hpp
@@ -64,6 +64,9 @@
 
     [[nodiscard]] std::string address() const { return server_.address(); }
     [[nodiscard]] const std::string& boot() const { return boot_; }
+    /// Version of its software, as the store lists it.
+    [[nodiscard]] std::string version() const;
+    void set_version(const std::string& version);
     void set_fault(answer_fault fault, long cut_at = 0, int times = -1);
     /// Another start of the endpoint, which declines what is meant for the old.
     void restart_as(const std::string& boot);
@@ -93,6 +96,7 @@
     answer_fault take_fault();
 
     std::string boot_;
+    std::string version_ = "v1";
     int events_;
     std::chrono::milliseconds gap_;
     mutable std::mutex mutex_;
--- a/test/standins/direct_fleet.cpp
+++ b/test/standins/direct_fleet.cpp
@@ -21,13 +21,13 @@
 
 std::string entry(const std::string& address, const char* service,
                   const char* state, std::uint64_t born = 1,
-                  const char* domain = "a")
+                  const char* domain = "a", const std::string& version = "v1")
 {
     return std::string(R"({"service":")") + service + R"(","address":")" +
-           address + R"(","zone":")" + domain + R"(","version":"v1","slots":)" +
-           std::to_string(endpoint_slots) + R"(,"state":")" + state +
-           R"(","warmup_left_ms":0,"seq":1,"born":)" + std::to_string(born) +
-           '}';
+           address + R"(","zone":")" + domain + R"(","version":")" + version +
+           R"(","slots":)" + std::to_string(endpoint_slots) + R"(,"state":")" +
+           state + R"(","warmup_left_ms":0,"seq":1,"born":)" +
+           std::to_string(born) + '}';
 }
 
 std::string account(const std::string& name)
@@ -116,7 +116,7 @@
     return got;
 }
 
-direct_fleet::direct_fleet(direct_plan plan) : plan_(plan)
+direct_fleet::direct_fleet(direct_plan plan) : plan_(std::move(plan))
 {
     directory_ = (std::filesystem::temp_directory_path() /
                   ("sycamorelock-direct-" + unique_ip(0)))
@@ -131,6 +131,8 @@
         engines_.push_back(std::make_unique<direct_engine>(
             "127.0.0.1:0", "engine-" + std::to_string(i), plan_.events,
             plan_.gap));
+        if (i < plan_.versions.size())
+            engines_.back()->set_version(plan_.versions[i]);
         add_route(engines_.back()->address());
         list_engine(i);
     }
@@ -255,7 +257,8 @@
     const direct_engine& which = *engines_.at(index);
     store_->put("servers/" + which.boot(),
                 entry(route_of(which), "planner", state, born,
-                      plan_.two_domains && index % 2 == 1 ? "b" : "a"));
+                      plan_.two_domains && index % 2 == 1 ? "b" : "a",
+                      which.version()));
 }
 
 void direct_fleet::drain(const std::string& domain)
@@ -327,6 +330,17 @@
     return runs;
 }
 
+std::set<std::string> direct_fleet::versions_of(const std::string& attempt_id)
+{
+    std::set<std::string> versions;
+    for (const auto& each : engines_)
+    {
+        if (each->runs_of(attempt_id) > 0)
+            versions.insert(each->version());
+    }
+    return versions;
+}
+
 std::string direct_fleet::settings_of(const direct_instance& which)
 {
     return text_of(which.settings_file);
--- a/test/standins/direct_fleet.hpp
+++ b/test/standins/direct_fleet.hpp
@@ -46,6 +46,8 @@
     bool two_domains = false;
     /// Instances reach endpoints and the store through the proxy.
     bool proxied = false;
+    /// Software versions of the engines in order; the others are of "v1".
+    std::vector<std::string> versions{};
 };
 
 /// A caller's request in the platform's dialect.
@@ -118,6 +120,8 @@
                           const std::string& path = "/plan/x");
     /// Runs of an attempt over all endpoints.
     int runs_of(const std::string& attempt_id);
+    /// Versions of the engines that ran an attempt.
+    std::set<std::string> versions_of(const std::string& attempt_id);
     std::string page(const std::string& address, const std::string& path);
     /// Whether an instance's metrics hold this line.
     bool says(const direct_instance& which, const std::string& line);
