A resumed stream goes on only at the release that began it: core

Callers saw streams that held events from two software versions: a resumed attempt, and a broken stream that an instance continued itself, went to any endpoint of the service, as nothing here knew which release had begun them.

stream_releases keeps, bounded in number and age and counted where dropped, which release each resumable stream was sent to, by its own sending or told by others, and which releases each service has had. With one release for longer than any stream can last, fresh news of endpoints and no moved route nothing need be told; otherwise each stream is told when it is sent, and those still open when that begins, once. A copy serves instances that have started. What is not known is not guessed: refusals release_unknown and release_gone. The router considers only endpoints of the stream's release, withholds a request whose endpoint has another version by now, and keeps a stream at the service that began it, also where its route has several or has moved.

Ruled out as a key: the address or entry of the endpoint, which a restart keeps.

--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -265,7 +265,14 @@
     }
     /// What is known of streams, for an instance that has started; nothing if
     /// that is too little.
-    [[nodiscard]] std::optional<stream_copy> copy_streams(time_point now) const;
+    [[nodiscard]] std::optional<stream_copy> copy_streams(time_point now) const
+    {
+        return streams_.copy(now);
+    }
+    /// Tells the others once more of the streams of this instance.
+    void retell_streams() { streams_.retell(); }
+    /// Refuses to go on with a stream whose release is not known.
+    refusal_decision refuse_unknown_release();
     /// Takes over what another instance knew of them.
     void adopt_streams(time_point now, const stream_copy& known)
     {
@@ -361,6 +368,7 @@
                    !health.set_aside(now);
         }
     };
+    using listing = std::span<const endpoint_state* const>;
     struct candidate
     {
         const endpoint_state* state = nullptr;
@@ -460,14 +468,17 @@
     /// Requests that this instance may send it in any second.
     [[nodiscard]] unsigned own_part(time_point now,
                                     const endpoint_state& at) const;
-    /// Time until an endpoint of a service may get a request, if all that are
+    /// Time until one of these endpoints may get a request, if all that are
     /// usable warm up.
     [[nodiscard]] std::optional<duration>
-    warming_pause(time_point now, service_id service) const;
+    warming_pause(time_point now, listing endpoints) const;
+    /// As `rest_pause`, of these endpoints.
+    [[nodiscard]] std::optional<milliseconds> rest_pause_of(time_point now,
+                                                            listing endpoints);
     static void unreserve(endpoint_state& at, placement_decision& placed);
-    /// Whether operators drain the domains of all endpoints of a service that
-    /// do not leave; false if there are none.
-    [[nodiscard]] bool all_drained(service_id service) const;
+    /// Whether operators drain the domains of all of these endpoints that do
+    /// not leave; false if there are none.
+    [[nodiscard]] static bool all_drained(listing endpoints);
     /// Puts a new notice of an endpoint in force.
     void apply_notices(endpoint_id endpoint);
     /// How long answers of engines of a service hold a slot.
@@ -491,9 +502,8 @@
     refusal_decision refuse_for_load(const request_profile& asked,
                                      double wait_ms, double allowed_ms);
     refusal_decision refuse_without_endpoint(time_point now,
+                                             const request_profile& asked,
                                              service_id service);
-    refusal_decision refuse_without_release(time_point now, service_id service,
-                                            release_id release);
     /// Tells the streams which releases have endpoints.
     void tell_releases(time_point now);
     /// The longest time of a stream, and routes that lead elsewhere by now.
@@ -505,8 +515,10 @@
     /// Counts how many ask about each prompt. Only a large fleet chooses by it.
     void note_demand(time_point now, std::span<const cache_note> notes);
     /// All endpoints of a service that are listed.
-    [[nodiscard]] std::span<const endpoint_state* const>
-    endpoints_of(service_id service) const;
+    [[nodiscard]] listing endpoints_of(service_id service) const;
+    /// Those of them that a request may ever go to, by their release.
+    [[nodiscard]] std::vector<const endpoint_state*>
+    fitting(const request_profile& asked, service_id service) const;
     /// Endpoints that a request may go to, without those in `tried`.
     [[nodiscard]] std::vector<const endpoint_state*>
     usable(time_point now, const request_profile& asked, const service& kind,
--- a/packages/core/include/sycamorelock/core/direct/stream_releases.hpp
+++ b/packages/core/include/sycamorelock/core/direct/stream_releases.hpp
@@ -45,9 +45,8 @@
 struct release_history
 {
     std::vector<release_sight> seen;
-    /// No release that had endpoints within the time for which streams are
-    /// remembered is missing.
-    bool complete = false;
+    /// For this time no release can have been missed.
+    milliseconds watched_for{0};
 
     bool operator==(const release_history&) const = default;
 };
@@ -95,10 +94,11 @@
     /// longer than this.
     static constexpr duration patience = std::chrono::seconds(3);
     /// Whoever has watched for less than others ask knows no more than they.
-    static constexpr duration settled_after = patience;
-    /// Whoever has not resumed a stream this long after its end seldom does.
+    static constexpr duration settled_after = patience + fresh_for;
+    /// Callers that take up a stream that had ended here do so within this
+    /// time: they lost its last bytes.
     static constexpr duration ended_for = std::chrono::seconds(5);
-    /// Streams that a copy tells of.
+    /// Streams that a copy tells of: some 300 KB.
     static constexpr std::size_t most_copied = 40'000;
 
     /// The longest time of a stream; it may break at its end and be resumed
@@ -109,7 +109,8 @@
     /// Endpoints of these releases are listed, and of no others.
     void set_listed(time_point now,
                     const std::map<service_id, std::set<release_id>>& listed);
-    /// Up to when the listing was right.
+    /// Up to when the listing was right. To be called often: it notices when
+    /// news stays away.
     void set_current(time_point now, time_point at);
     /// Streams of routes that lead to this service now may have begun at
     /// another one.
@@ -123,7 +124,8 @@
     /// they are told.
     bool note(time_point now, const stream_note& sent);
     /// The same for a stream that was begun before, maybe elsewhere.
-    void note_resumed(time_point now, const stream_note& sent);
+    void note_resumed(time_point now, stream_key key, service_id service,
+                      release_id release);
     /// Its caller has got all of it.
     void end(time_point now, stream_key key);
     /// Streams of other instances.
@@ -143,23 +145,24 @@
 
     /// Whether others may be unable to tell the release of a service's streams.
     [[nodiscard]] bool must_tell(time_point now, service_id service) const;
-    /// What they must be told, each stream once.
+    /// What they must be told, each stream once. Also drops what is too old.
     [[nodiscard]] std::vector<stream_note> take_untold(time_point now);
 
+    /// An instance has come that has not heard what was told.
+    void retell();
+
     /// Whether this instance lacks what a copy would bring.
     [[nodiscard]] bool wants_copy(time_point now) const;
-    [[nodiscard]] bool may_give(time_point now) const;
-    [[nodiscard]] stream_copy copy(time_point now) const;
+    /// What is known here; nothing if that is too little.
+    [[nodiscard]] std::optional<stream_copy> copy(time_point now) const;
     void adopt(time_point now, const stream_copy& known);
 
-    /// Drops what is too old.
-    void sweep(time_point now);
-
+    /// Streams that are remembered.
     [[nodiscard]] std::size_t kept() const
     {
         return own_.size() + told_.size();
     }
-    /// Dropped before their time since there were too many.
+    /// Those dropped before their time, since there were too many.
     [[nodiscard]] std::uint64_t dropped() const { return dropped_; }
 
   private:
@@ -169,23 +172,34 @@
         release_id release;
         unsigned attempt = 0;
         time_point at;
-    };
-    struct own_entry : entry
-    {
         std::optional<time_point> ended;
-        bool is_told = false;
+        /// It is in `untold_`.
+        bool is_pending = false;
     };
-    struct noted
+    /// Streams in the order in which they were noted. One that was noted again
+    /// is in `order` twice.
+    struct memory
     {
-        time_point at;
-        stream_key key;
+        struct noted
+        {
+            time_point at;
+            stream_key key;
+        };
+        std::unordered_map<stream_key, entry> known;
+        std::deque<noted> order;
+
+        [[nodiscard]] std::size_t size() const { return known.size(); }
+        [[nodiscard]] const entry* find(stream_key key) const;
+        entry& renew(time_point now, stream_key key);
+        /// Returns how many were dropped as there were more than `most`.
+        std::size_t drop(time_point oldest, std::size_t most);
     };
     /// Releases of a service, and when endpoints of each were listed last.
     struct history
     {
         std::map<release_id, time_point> seen;
         std::set<release_id> listed;
-        /// Routes led to it from another service.
+        /// A route has led to it instead of another service since then.
         std::optional<time_point> moved;
     };
 
@@ -193,35 +207,40 @@
     {
         return now - current_at_ <= fresh_for;
     }
-    /// Whether no release can be missing from the history.
-    [[nodiscard]] bool is_complete(time_point now) const;
+    /// Time within which a release that was listed may have begun a stream.
     [[nodiscard]] duration history_for() const
     {
         return kept_for_ + listing_skew;
     }
+    /// Whether no release that may have begun a stream can be missing here.
+    [[nodiscard]] bool is_complete(time_point now) const
+    {
+        return is_fresh(now) && watched_since_ &&
+               now - *watched_since_ >= history_for();
+    }
+    [[nodiscard]] bool any_must_tell(time_point now) const;
+    /// To be told as soon as that is needed.
+    void remember_untold(stream_key key, entry& sent);
+    /// Whether a stream of `untold_` is to be told; clears it if so, or if
+    /// nobody will ask for it any more.
+    [[nodiscard]] bool is_due(time_point now, entry& sent) const;
     void see(time_point at, service_id service, release_id release);
-    /// Whether a note says nothing newer than what is known.
-    [[nodiscard]] static bool is_older(const entry& known,
-                                       const stream_note& than);
-    template <class Entry>
-    void drop_old(time_point now, std::unordered_map<stream_key, Entry>& from,
-                  std::deque<noted>& order, std::size_t most);
+    void learn(time_point now, const stream_note& told);
+    void sweep(time_point now);
 
     duration kept_for_ = least_kept;
     std::map<service_id, history> services_;
+    std::set<service_id> shared_;
     time_point current_at_;
     /// Since when no release can have been missed.
     std::optional<time_point> watched_since_;
-    /// A copy has come since then.
+    /// Since when others are asked for a copy, until one has come.
+    std::optional<time_point> asked_since_;
     bool informed_ = false;
-    std::set<service_id> shared_;
-    std::unordered_map<stream_key, own_entry> own_;
-    std::unordered_map<stream_key, entry> told_;
+    memory own_;
+    memory told_;
     /// Streams of this instance that it has not told.
     std::vector<stream_key> untold_;
-    /// Oldest first; a stream that was noted again is in it twice.
-    std::deque<noted> own_order_;
-    std::deque<noted> told_order_;
     std::uint64_t dropped_ = 0;
 };
 
--- a/packages/core/lib/direct/endpoint_registry.cpp
+++ b/packages/core/lib/direct/endpoint_registry.cpp
@@ -25,12 +25,16 @@
 {
     going_.erase(record.boot);
     endpoint_record& known = records_[record.boot];
+    // An instance of an earlier build passes entries on without versions.
+    if (record.version.empty() && record.revision == known.revision)
+        record.version = known.version;
     const bool older = known.revision > record.revision;
     const bool same =
         known.service == record.service && known.address == record.address &&
         known.domain == record.domain && known.slots == record.slots &&
         known.draining == record.draining &&
         known.started_ms == record.started_ms &&
+        known.version == record.version &&
         // What is left of a warm-up only shrinks, unless another one begins.
         record.warmup_left <= known.warmup_left;
     if (older)
@@ -91,6 +95,8 @@
         key = extend_key(key, boot);
         key = extend_key(key, record.draining ? "leaves" : "stays");
         key = extend_key(key, std::to_string(record.started_ms));
+        if (!record.version.empty())
+            key = extend_key(key, record.version);
     }
     return key;
 }
--- a/packages/core/lib/direct/note_relay.cpp
+++ b/packages/core/lib/direct/note_relay.cpp
@@ -10,49 +10,59 @@
 namespace
 {
 
-void append(std::vector<cache_note>& to, const std::vector<cache_note>& notes)
+template <class Note>
+void append(std::vector<Note>& to, const std::vector<Note>& notes,
+            std::size_t most)
 {
     to.insert(to.end(), notes.begin(), notes.end());
-    if (to.size() <= note_relay::most_notes)
+    if (to.size() <= most)
         return;
-    const auto excess =
-        static_cast<std::ptrdiff_t>(to.size() - note_relay::most_notes);
+    const auto excess = static_cast<std::ptrdiff_t>(to.size() - most);
     to.erase(to.begin(), to.begin() + excess);
 }
 
 } // namespace
 
-void note_relay::add_own(std::vector<cache_note> notes)
+template <class Note, std::size_t Most>
+void relay<Note, Most>::add_own(std::vector<Note> notes)
 {
-    append(own_, notes);
-    append(domain_, notes);
-    append(all_, notes);
+    append(own_, notes, Most);
+    append(domain_, notes, Most);
+    append(all_, notes, Most);
 }
 
-void note_relay::add_member(const std::vector<cache_note>& notes)
+template <class Note, std::size_t Most>
+void relay<Note, Most>::add_member(const std::vector<Note>& notes)
 {
-    append(domain_, notes);
-    append(all_, notes);
+    append(domain_, notes, Most);
+    append(all_, notes, Most);
 }
 
-void note_relay::add_domain(const std::vector<cache_note>& notes)
+template <class Note, std::size_t Most>
+void relay<Note, Most>::add_domain(const std::vector<Note>& notes)
 {
-    append(all_, notes);
+    append(all_, notes, Most);
 }
 
-std::vector<cache_note> note_relay::take_own()
+template <class Note, std::size_t Most>
+std::vector<Note> relay<Note, Most>::take_own()
 {
     return std::exchange(own_, {});
 }
 
-std::vector<cache_note> note_relay::take_domain()
+template <class Note, std::size_t Most>
+std::vector<Note> relay<Note, Most>::take_domain()
 {
     return std::exchange(domain_, {});
 }
 
-std::vector<cache_note> note_relay::take_all()
+template <class Note, std::size_t Most>
+std::vector<Note> relay<Note, Most>::take_all()
 {
     return std::exchange(all_, {});
 }
 
+template class relay<cache_note, note_relay::most_notes>;
+template class relay<stream_note, stream_relay::most_notes>;
+
 } // namespace sycamorelock::core::direct
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -135,6 +135,9 @@
     const auto found = endpoints_.find(at.hold.endpoint);
     if (found == endpoints_.end())
         return withheld_reason::gone;
+    if (found->second.record.version != at.endpoint.version ||
+        found->second.record.service != at.endpoint.service)
+        return withheld_reason::other_release;
     if (found->second.is_leaving())
         return withheld_reason::leaving;
     if (found->second.is_drained)
@@ -175,9 +178,15 @@
 
 std::optional<milliseconds> router::rest_pause(time_point now,
                                                service_id service)
+{
+    return rest_pause_of(now, endpoints_of(service));
+}
+
+std::optional<milliseconds> router::rest_pause_of(time_point now,
+                                                  listing endpoints)
 {
     std::optional<time_point> first_end;
-    for (const endpoint_state* state : endpoints_of(service))
+    for (const endpoint_state* state : endpoints)
     {
         if (state->is_leaving() || state->is_drained)
             continue;
@@ -214,6 +223,7 @@
             state = known->second;
         state.record = record;
         state.id = id;
+        state.release = record.release();
         state.is_drained = drained_.contains(record.domain);
         state.apply(notices_);
         note_warmup(now, state, known != endpoints_.end());
@@ -232,10 +242,10 @@
     for (const auto& [id, state] : endpoints_)
         by_service_[state.record.service].push_back(&state);
     renew_guesses();
+    tell_releases(now);
 }
 
-std::span<const router::endpoint_state* const>
-router::endpoints_of(service_id service) const
+router::listing router::endpoints_of(service_id service) const
 {
     const auto listed = by_service_.find(service);
     if (listed == by_service_.end())
@@ -399,6 +409,7 @@
     ledger_.refresh(now);
     shares_.report(now, from, report.demands);
     on_notes(now, report.notes);
+    on_streams(now, report.streams);
     for (const service_figures& told : report.figures)
     {
         const auto known = estimators_.find(told.service);
@@ -488,6 +499,8 @@
     report.notes = std::move(notes_);
     notes_.clear();
     report.demands = shares_.own(now);
+    report.streams = streams_.take_untold(now);
+    report.wants_streams = streams_.wants_copy(now);
     report.warming.clear();
     for (const auto& [id, state] : endpoints_)
     {
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -76,11 +76,13 @@
 router::usable(time_point now, const request_profile& asked,
                const service& kind, const std::set<endpoint_id>& tried) const
 {
-    const std::span<const endpoint_state* const> listed = endpoints_of(kind.id);
+    const listing listed = endpoints_of(kind.id);
     std::vector<const endpoint_state*> result;
     result.reserve(listed.size());
     for (const endpoint_state* state : listed)
     {
+        if (asked.release && *asked.release != state->release)
+            continue;
         const bool is_open =
             state->is_usable(now) &&
             (!state->is_limited(now) || admits(now, *state, state->chosen));
@@ -324,18 +326,37 @@
     return made;
 }
 
+std::vector<const router::endpoint_state*>
+router::fitting(const request_profile& asked, service_id service) const
+{
+    std::vector<const endpoint_state*> result;
+    for (const endpoint_state* state : endpoints_of(service))
+    {
+        if (!asked.release || *asked.release == state->release)
+            result.push_back(state);
+    }
+    return result;
+}
+
 refusal_decision router::refuse_without_endpoint(time_point now,
+                                                 const request_profile& asked,
                                                  service_id service)
 {
     static constexpr milliseconds soon{500};
     // A drain takes seconds.
     static constexpr milliseconds drained_pause{2000};
-    const std::optional<milliseconds> pause = rest_pause(now, service);
-    if (pause)
+    const std::vector<const endpoint_state*> known = fitting(asked, service);
+    const bool is_gone =
+        asked.release && std::all_of(known.begin(), known.end(),
+                                     [](const endpoint_state* each)
+                                     { return each->is_leaving(); });
+    if (is_gone)
+        return {refusal::release_gone, soon, 0};
+    if (const auto pause = rest_pause_of(now, known))
         return {refusal::resting, *pause, 0};
-    if (const auto free = warming_pause(now, service))
+    if (const auto free = warming_pause(now, known))
         return refuse_until(refusal::warming_up, *free);
-    if (all_drained(service))
+    if (all_drained(known))
         return refuse(refusal::drained, to_ms(drained_pause), 0);
     return {refusal::no_endpoint, soon, 0};
 }
@@ -358,7 +379,7 @@
         return refusal_decision{refusal::too_late, milliseconds(0), 0};
     const service* kind = find_service(wanted);
     if (kind == nullptr)
-        return refuse_without_endpoint(now, wanted);
+        return refuse_without_endpoint(now, asked, wanted);
     const double allowed = repeated ? std::numeric_limits<double>::infinity()
                                     : std::min(longest_wait(asked, *kind),
                                                to_ms(asked.deadline - now));
@@ -371,7 +392,7 @@
     std::optional<candidate> best =
         choose(of, usable(now, asked, *kind, tried));
     if (!best)
-        return refuse_without_endpoint(now, wanted);
+        return refuse_without_endpoint(now, asked, wanted);
     // Not sent to an engine with a shorter wait that would read everything
     // again: under load that takes more from others than a refusal does.
     admission& admitted = admissions_[kind->id];
--- a/packages/core/lib/direct/router_warmup.cpp
+++ b/packages/core/lib/direct/router_warmup.cpp
@@ -25,10 +25,10 @@
     }
 }
 
-bool router::all_drained(service_id service) const
+bool router::all_drained(listing endpoints)
 {
     bool any = false;
-    for (const endpoint_state* state : endpoints_of(service))
+    for (const endpoint_state* state : endpoints)
     {
         if (state->is_leaving())
             continue;
@@ -113,10 +113,10 @@
 }
 
 std::optional<duration> router::warming_pause(time_point now,
-                                              service_id service) const
+                                              listing endpoints) const
 {
     std::optional<duration> first;
-    for (const endpoint_state* state : endpoints_of(service))
+    for (const endpoint_state* state : endpoints)
     {
         if (!state->is_usable(now) || !state->is_limited(now))
             continue;
