Reports carry streams, releases and versions: wire

Streams are grouped by service, release and attempt, so each takes 8 bytes and a group at most 32 (exchange_codec_test). More than 100,000 streams or releases, and longer versions than are kept, are refused.

--- a/packages/wire/lib/exchange_codec.cpp
+++ b/packages/wire/lib/exchange_codec.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <map>
+#include <tuple>
 
 namespace sycamorelock::wire
 {
@@ -134,6 +136,7 @@
         item.set_revision(record.revision);
         item.set_started_ms(record.started_ms);
         item.set_warmup_left_ms(ms_of(record.warmup_left));
+        item.set_version(record.version);
     }
 }
 
@@ -152,14 +155,83 @@
         return view;
     std::vector<direct::endpoint_record>& all = view.endpoints.emplace();
     for (const pb::EndpointEntry& entry : item.endpoints())
+    {
+        if (entry.version().size() > direct::most_version_bytes)
+            throw decode_error("a version is too long");
         all.push_back({entry.boot(), core::service_id(entry.service()),
                        entry.address(), core::domain_id(entry.domain()),
                        entry.slots(), entry.draining(), entry.revision(),
                        entry.started_ms(),
-                       std::chrono::milliseconds(entry.warmup_left_ms())});
+                       std::chrono::milliseconds(entry.warmup_left_ms()),
+                       entry.version()});
+    }
     return view;
 }
 
+/// Streams share the few releases and attempts that they were sent to, so a
+/// stream takes little more than its key.
+void encode_streams(const direct::exchange_report& report,
+                    pb::ExchangeReport& out)
+{
+    using group = std::tuple<core::service_id, direct::release_id, unsigned>;
+    std::map<group, pb::StreamNews*> groups;
+    for (const direct::stream_note& note : report.streams)
+    {
+        pb::StreamNews*& item =
+            groups[{note.service, note.release, note.attempt}];
+        if (item == nullptr)
+        {
+            item = out.add_streams();
+            item->set_service(note.service.value());
+            item->set_release(note.release.value());
+            item->set_attempt(note.attempt);
+        }
+        item->add_keys(note.key.value());
+    }
+    out.set_wants_streams(report.wants_streams);
+    if (!report.releases)
+        return;
+    pb::ReleaseHistory& history = *out.mutable_releases();
+    history.set_watched_ms(ms_of(report.releases->watched_for));
+    for (const direct::release_sight& sight : report.releases->seen)
+    {
+        pb::ReleaseSight& item = *history.add_seen();
+        item.set_service(sight.service.value());
+        item.set_release(sight.release.value());
+        item.set_age_ms(ms_of(sight.age));
+    }
+}
+
+void decode_streams(const pb::ExchangeReport& message,
+                    direct::exchange_report& report)
+{
+    for (const pb::StreamNews& item : message.streams())
+    {
+        for (const std::uint64_t key : item.keys())
+            report.streams.push_back(
+                {direct::stream_key(key), core::service_id(item.service()),
+                 direct::release_id(item.release()), item.attempt()});
+    }
+    report.wants_streams = message.wants_streams();
+    if (!message.has_releases())
+        return;
+    direct::release_history& history = report.releases.emplace();
+    history.watched_for =
+        std::chrono::milliseconds(message.releases().watched_ms());
+    for (const pb::ReleaseSight& item : message.releases().seen())
+        history.seen.push_back({core::service_id(item.service()),
+                                direct::release_id(item.release()),
+                                std::chrono::milliseconds(item.age_ms())});
+}
+
+int count_streams(const pb::ExchangeReport& message)
+{
+    int count = 0;
+    for (const pb::StreamNews& item : message.streams())
+        count += item.keys_size();
+    return count;
+}
+
 void check_sizes(const pb::ExchangeReport& message)
 {
     const bool too_many = message.peers_size() > max_items ||
@@ -168,6 +240,8 @@
                           message.demands_size() > max_items ||
                           message.figures_size() > max_items ||
                           message.warming_size() > max_items ||
+                          count_streams(message) > max_items ||
+                          message.releases().seen_size() > max_items ||
                           message.store().endpoints_size() > max_items ||
                           message.store().drains_size() > max_items;
     if (too_many)
@@ -226,6 +300,7 @@
         item.set_revision(each.revision);
         item.set_left_ms(ms_of(each.left));
     }
+    encode_streams(report, out);
     encode_store(report.store, *out.mutable_store());
     std::string bytes = out.SerializeAsString();
     const message_tag tag = make_tag(bytes, key);
@@ -277,6 +352,7 @@
         report.warming.push_back({core::endpoint_id(item.endpoint()),
                                   item.revision(),
                                   std::chrono::milliseconds(item.left_ms())});
+    decode_streams(message, report);
     report.store = decode_store(message.store());
     return report;
 }
--- a/packages/wire/unittests/exchange_codec_test.cpp
+++ b/packages/wire/unittests/exchange_codec_test.cpp
@@ -43,7 +43,8 @@
                                      true,
                                      12,
                                      1790000000123,
-                                     std::chrono::milliseconds(2500)};
+                                     std::chrono::milliseconds(2500),
+                                     "v1.2"};
     report.store = {
         13,
         std::chrono::milliseconds(40),
@@ -55,6 +56,36 @@
     report.warming = {
         {core::endpoint_id::of("e"), 16, std::chrono::milliseconds(1800)}};
     report.wants_caches = true;
+    const core::service_id service = core::service_id::of("s");
+    const direct::release_id release = direct::release_of(service, "v1.2");
+    report.streams = {{direct::stream_key(81), service, release, 1},
+                      {direct::stream_key(82), service, release, 1},
+                      {direct::stream_key(83), service, release, 2}};
+    report.wants_streams = true;
+    report.releases = {{{service, release, std::chrono::milliseconds(700)}},
+                       std::chrono::milliseconds(21000)};
+    return report;
+}
+
+core::direct::exchange_report
+back_and_forth(const core::direct::exchange_report& report)
+{
+    return wire::decode_report(wire::encode_report(report, "key"), "key");
+}
+
+/// A report with so many streams of each of some releases.
+core::direct::exchange_report report_of_streams(std::size_t releases,
+                                                std::size_t streams)
+{
+    namespace direct = core::direct;
+    const core::service_id service = core::service_id::of("s");
+    direct::exchange_report report;
+    for (std::size_t i = 0; i < releases; ++i)
+    {
+        for (std::size_t j = 0; j < streams; ++j)
+            report.streams.push_back({direct::stream_key(i * streams + j),
+                                      service, direct::release_id(i), 1});
+    }
     return report;
 }
 
@@ -107,6 +138,53 @@
     cr_expect(endpoint.id() == sent.store.endpoints->at(0).id());
 }
 
+Test(exchange_codec, streams_and_releases_come_out_as_they_went_in)
+{
+    const auto sent = full_report();
+    const auto got = back_and_forth(sent);
+    cr_expect(got.streams == sent.streams);
+    cr_expect(got.wants_streams);
+    cr_assert(got.releases.has_value());
+    cr_expect(*got.releases == *sent.releases);
+    cr_expect_str_eq(got.store.endpoints->at(0).version.c_str(), "v1.2");
+    cr_expect_not(back_and_forth({}).releases.has_value());
+    cr_expect_not(back_and_forth({}).wants_streams);
+}
+
+// Guards against news of streams that fills the links of a large fleet.
+Test(exchange_codec, a_stream_takes_eight_bytes_beside_its_release)
+{
+    constexpr std::size_t releases = 3;
+    constexpr std::size_t streams = 1000;
+    constexpr std::size_t key_bytes = 8;
+    constexpr std::size_t release_bytes = 32;
+    const std::size_t empty = wire::encode_report({}, "key").size();
+    const std::size_t full =
+        wire::encode_report(report_of_streams(releases, streams), "key").size();
+    cr_expect_leq(full - empty,
+                  releases * (streams * key_bytes + release_bytes));
+}
+
+// Guards against reports that make a receiver keep without bound.
+Test(exchange_codec, more_streams_than_a_receiver_keeps_are_refused)
+{
+    constexpr std::size_t most = 100'000;
+    cr_expect_eq(back_and_forth(report_of_streams(2, most / 2)).streams.size(),
+                 most);
+    cr_expect_throw(back_and_forth(report_of_streams(2, most / 2 + 1)),
+                    wire::decode_error);
+    auto report = full_report();
+    report.store.endpoints->at(0).version =
+        std::string(core::direct::most_version_bytes + 1, 'v');
+    cr_expect_throw(back_and_forth(report), wire::decode_error);
+    report.store.endpoints->at(0).version.pop_back();
+    cr_expect_eq(back_and_forth(report).store.endpoints->at(0).version.size(),
+                 core::direct::most_version_bytes);
+    report = full_report();
+    report.releases->seen.assign(most + 1, {});
+    cr_expect_throw(back_and_forth(report), wire::decode_error);
+}
+
 Test(exchange_codec, no_endpoints_differ_from_none_told)
 {
     auto report = full_report();
