Instances tell each other which release began a stream: exchange

Reports of a small fleet carry the streams; in a large one they go by the aggregators as notes do. An instance that starts, or whose news of endpoints stayed away, asks for a copy; one that returns to a small fleet is told again. Reports of a small fleet also confirm the news of endpoints, as the aggregators' do in a large one: the store of a quiet fleet answers each instance only every two seconds. Built, not yet run with real processes.

--- a/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
@@ -83,6 +83,11 @@
     void pass_caches_to(const std::string& peer,
                         std::vector<core::direct::cache_note> known);
     void learn_caches(core::direct::exchange_report copy);
+    void help_with_streams(const core::direct::exchange_report& started);
+    void pass_streams_to(const std::string& peer,
+                         core::direct::stream_copy known);
+    void learn_streams(core::direct::exchange_report copy);
+    void use_streams(std::vector<core::direct::stream_note> told);
     void help_with_endpoints(const core::direct::exchange_report& behind);
     void use_store_view(const core::direct::exchange_report& report);
     void note_uptime(bool outage_ended);
@@ -134,6 +139,7 @@
     std::mt19937_64 random_;
     core::direct::exchange_tree tree_;
     core::direct::note_relay relay_;
+    core::direct::stream_relay stream_relay_;
     /// What another failure domain's aggregator last told of engines.
     std::vector<core::direct::service_figures> domain_figures_;
     core::direct::store_cover cover_;
@@ -146,6 +152,7 @@
     core::direct::help_pace config_pace_;
     core::direct::cache_copies copies_;
     core::direct::help_pace caches_pace_;
+    core::direct::help_pace streams_pace_;
     core::time_point next_gossip_;
     core::time_point next_members_;
     std::size_t live_ = 0;
--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
@@ -63,6 +63,15 @@
     void copy_caches(
         std::function<void(std::vector<core::direct::cache_note>)> done);
     void on_notes(std::vector<core::direct::cache_note> notes);
+    /// Streams of other instances.
+    void on_streams(std::vector<core::direct::stream_note> told);
+    /// Takes over what another instance knew of streams.
+    void adopt_streams(core::direct::stream_copy known);
+    /// Calls `done` on the traffic thread with what is known of them here, if
+    /// that is enough to tell.
+    void copy_streams(std::function<void(core::direct::stream_copy)> done);
+    /// Tells the others once more of the streams of this instance.
+    void retell_streams();
     void forget_instance(core::instance_id gone);
     void set_fleet_size(std::size_t instances);
     void set_retries(double ratio, double slack);
--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -79,6 +79,8 @@
     endpoints_passed_on = 3204,
     caches_passed_on = 3205,
     caches_learned = 3206,
+    streams_passed_on = 3207,
+    streams_learned = 3208,
     store_lost = 3301,
     store_back = 3302,
     store_history_gone = 3303,
--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -119,6 +119,10 @@
     {
         log_.write(direct_event::peers_changed,
                    {{"live", std::to_string(live)}});
+        // Whoever was away has missed what was told meanwhile. In a large fleet
+        // it asks for a copy.
+        if (live > live_ && !peers_.large(at))
+            traffic_.retell_streams();
         live_ = live;
         traffic_.set_fleet_size(live + 1);
     }
@@ -136,6 +140,8 @@
     }
     relay_.add_own(std::move(report.notes));
     report.notes.clear();
+    stream_relay_.add_own(std::move(report.streams));
+    report.streams.clear();
     exchange_in_tree(at, std::move(report));
 }
 
@@ -164,6 +170,7 @@
     const std::string aggregator =
         peers_.aggregator(at, core::domain_id::of(settings_.domain));
     own.notes = relay_.take_own();
+    own.streams = stream_relay_.take_own();
     choose_reader(at, aggregator.empty());
     if (!aggregator.empty())
     {
@@ -188,15 +195,18 @@
         return;
     // Gossip asks a few already; all members would answer.
     other.wants_caches = false;
+    other.wants_streams = false;
     core::direct::exchange_sum sum = tree_.domain_sum(at);
     other.part = report_part::domain;
     other.work = std::move(sum.work);
     other.demands = std::move(sum.demands);
     other.notes = relay_.take_domain();
+    other.streams = stream_relay_.take_domain();
     for (const core::domain_id domain : peers_.other_domains(at))
         tell(at, other, {peers_.aggregator(at, domain)});
     other.part = report_part::rest;
     other.notes = relay_.take_all();
+    other.streams = stream_relay_.take_all();
     const core::direct::store_view view = confirmed_store_view(at);
     for (const std::string& member : tree_.members(at))
     {
@@ -228,6 +238,12 @@
         traffic_.on_notes(std::move(notes));
 }
 
+void control_plane::use_streams(std::vector<core::direct::stream_note> told)
+{
+    if (!told.empty())
+        traffic_.on_streams(std::move(told));
+}
+
 void control_plane::take(exchange_report report)
 {
     using core::direct::report_part;
@@ -235,6 +251,8 @@
     switch (report.part)
     {
     case report_part::own:
+        if (peers_.is_newest(report))
+            knowledge_.confirm(at, report.store);
         traffic_.on_report(std::move(report));
         break;
     case report_part::member:
@@ -243,6 +261,8 @@
         relay_.add_member(report.notes);
         member_views_[report.sender] = report.store;
         use_notes(std::move(report.notes));
+        stream_relay_.add_member(report.streams);
+        use_streams(std::move(report.streams));
         break;
     case report_part::domain:
         knowledge_.confirm(at, report.store);
@@ -251,11 +271,14 @@
                         {std::move(report.work), std::move(report.demands)});
         relay_.add_domain(report.notes);
         use_notes(std::move(report.notes));
+        stream_relay_.add_domain(report.streams);
+        use_streams(std::move(report.streams));
         break;
     case report_part::rest:
         use_rest({std::move(report.work), std::move(report.demands)},
                  std::move(report.figures));
         use_notes(std::move(report.notes));
+        use_streams(std::move(report.streams));
         break;
     case report_part::none:
     case report_part::copy:
@@ -287,11 +310,13 @@
         traffic_.on_warming(report.warming);
     // A copy for an instance that is behind holds nothing else.
     if (report.part == core::direct::report_part::copy)
-        return learn_caches(std::move(report));
+        return report.releases ? learn_streams(std::move(report))
+                               : learn_caches(std::move(report));
     if (report.config_version < version_)
         help_with_config(report);
     help_with_endpoints(report);
     help_with_caches(report);
+    help_with_streams(report);
     take(std::move(report));
 }
 
--- a/packages/adapters/lib/direct/control_plane_help.cpp
+++ b/packages/adapters/lib/direct/control_plane_help.cpp
@@ -1,5 +1,5 @@
-// What an instance sends others that lack it: the configuration, endpoints, and
-// what engines keep.
+// What an instance sends others that lack it: the configuration, endpoints,
+// what engines keep, and which releases streams began at.
 #include "sycamorelock/adapters/direct/control_plane.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
@@ -119,4 +119,47 @@
     traffic_.adopt_caches(std::move(copy.notes));
 }
 
+void control_plane::help_with_streams(const exchange_report& started)
+{
+    const core::time_point at = now();
+    if (!started.wants_streams || !is_drawn(at) ||
+        !streams_pace_.allow(at, started.sender))
+        return;
+    traffic_.copy_streams(
+        [this, peer = started.sender](core::direct::stream_copy known)
+        {
+            boost::asio::post(io_,
+                              [this, peer, known = std::move(known)]() mutable
+                              { pass_streams_to(peer, std::move(known)); });
+        });
+}
+
+void control_plane::pass_streams_to(const std::string& peer,
+                                    core::direct::stream_copy known)
+{
+    exchange_report copy = copy_at(now());
+    copy.streams = std::move(known.streams);
+    copy.releases = std::move(known.releases);
+    log_.write(direct_event::streams_passed_on,
+               {{"peer", peer},
+                {"streams", std::to_string(copy.streams.size())},
+                {"releases", std::to_string(copy.releases->seen.size())}});
+    tell(now(), copy, {peer});
+}
+
+void control_plane::learn_streams(exchange_report copy)
+{
+    // One that a cut has held up says nothing of what came since.
+    if (!peers_.is_newest(copy))
+        copy.releases->watched_for = milliseconds(0);
+    log_.write(
+        direct_event::streams_learned,
+        {{"peer", copy.sender},
+         {"streams", std::to_string(copy.streams.size())},
+         {"releases", std::to_string(copy.releases->seen.size())},
+         {"watched_ms", std::to_string(copy.releases->watched_for.count())}});
+    traffic_.adopt_streams(
+        {std::move(copy.streams), std::move(*copy.releases)});
+}
+
 } // namespace sycamorelock::adapters::direct
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -217,6 +217,7 @@
         if (delay_.tick(at))
             tell_delay(at);
         limits_.tick(at);
+        router_.set_endpoints_current(at, at - news_.at(at));
         crowded_ = sessions_.size() > crowded_at_;
         if (sessions_.size() > full_at_)
             make_room();
@@ -355,6 +356,35 @@
                { done(impl->router().copy_caches(now())); });
 }
 
+void traffic_plane::on_streams(std::vector<core::direct::stream_note> told)
+{
+    asio::post(impl_->io(), [impl = impl_, told = std::move(told)]
+               { impl->router().on_streams(now(), told); });
+}
+
+void traffic_plane::adopt_streams(core::direct::stream_copy known)
+{
+    asio::post(impl_->io(), [impl = impl_, known = std::move(known)]
+               { impl->router().adopt_streams(now(), known); });
+}
+
+void traffic_plane::copy_streams(
+    std::function<void(core::direct::stream_copy)> done)
+{
+    asio::post(impl_->io(),
+               [impl = impl_, done = std::move(done)]
+               {
+                   if (auto known = impl->router().copy_streams(now()))
+                       done(std::move(*known));
+               });
+}
+
+void traffic_plane::retell_streams()
+{
+    asio::post(impl_->io(),
+               [impl = impl_] { impl->router().retell_streams(); });
+}
+
 void traffic_plane::note_endpoints_current(core::time_point at)
 {
     impl_->news().set_current_at(at);
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -156,6 +156,11 @@
                "Another instance has started and was sent what engines keep."},
     event_kind{3206, info, "caches_learned",
                "Another instance has sent what engines keep."},
+    event_kind{3207, info, "streams_passed_on",
+               "Another instance has started and was sent which releases "
+               "streams began at."},
+    event_kind{3208, info, "streams_learned",
+               "Another instance has sent which releases streams began at."},
     event_kind{3301, warn, "store_lost",
                "The configuration store does not answer as it should."},
     event_kind{3302, info, "store_back",
