--- a/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
@@ -140,6 +140,8 @@
     core::direct::exchange_tree tree_;
     core::direct::note_relay relay_;
     core::direct::stream_relay stream_relay_;
+    /// To which the own streams were told last.
+    std::string aggregator_;
     /// What another failure domain's aggregator last told of engines.
     std::vector<core::direct::service_figures> domain_figures_;
     core::direct::store_cover cover_;
--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -172,6 +172,10 @@
     own.notes = relay_.take_own();
     own.streams = stream_relay_.take_own();
     choose_reader(at, aggregator.empty());
+    // What the one before was told last may have ended with it.
+    if (aggregator != aggregator_)
+        traffic_.retell_streams();
+    aggregator_ = aggregator;
     if (!aggregator.empty())
     {
         own.part = report_part::member;
