Instances that have started are told of streams also after an outage of the store

Whoever had missed news of endpoints gave no copy for five seconds, so that an instance that started then lacked streams that the others knew. It now asks for streams and for releases apart: whoever has run for long gives the first, only one whose own news has not stayed away gives the second, so that after an outage of the store nobody asks everybody in vain.

A test with real processes is written and not yet run.

--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
@@ -69,7 +69,9 @@
     void adopt_streams(core::direct::stream_copy known);
     /// Calls `done` on the traffic thread with what is known of them here, if
     /// that is enough to tell.
-    void copy_streams(std::function<void(core::direct::stream_copy)> done);
+    /// \param has_started the one who asks lacks all streams; else releases.
+    void copy_streams(bool has_started,
+                      std::function<void(core::direct::stream_copy)> done);
     /// Tells the others once more of the streams of this instance.
     void retell_streams();
     void forget_instance(core::instance_id gone);
--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -200,6 +200,7 @@
     // Gossip asks a few already; all members would answer.
     other.wants_caches = false;
     other.wants_streams = false;
+    other.wants_releases = false;
     core::direct::exchange_sum sum = tree_.domain_sum(at);
     other.part = report_part::domain;
     other.work = std::move(sum.work);
--- a/packages/adapters/lib/direct/control_plane_help.cpp
+++ b/packages/adapters/lib/direct/control_plane_help.cpp
@@ -122,10 +122,11 @@
 void control_plane::help_with_streams(const exchange_report& started)
 {
     const core::time_point at = now();
-    if (!started.wants_streams || !is_drawn(at) ||
-        !streams_pace_.allow(at, started.sender))
+    const bool asks = started.wants_streams || started.wants_releases;
+    if (!asks || !is_drawn(at) || !streams_pace_.allow(at, started.sender))
         return;
     traffic_.copy_streams(
+        started.wants_streams,
         [this, peer = started.sender](core::direct::stream_copy known)
         {
             boost::asio::post(io_,
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -369,12 +369,13 @@
 }
 
 void traffic_plane::copy_streams(
-    std::function<void(core::direct::stream_copy)> done)
+    bool has_started, std::function<void(core::direct::stream_copy)> done)
 {
     asio::post(impl_->io(),
-               [impl = impl_, done = std::move(done)]
+               [impl = impl_, has_started, done = std::move(done)]
                {
-                   if (auto known = impl->router().copy_streams(now()))
+                   auto known = impl->router().copy_streams(now(), has_started);
+                   if (known)
                        done(std::move(*known));
                });
 }
--- a/packages/core/include/sycamorelock/core/direct/exchange.hpp
+++ b/packages/core/include/sycamorelock/core/direct/exchange.hpp
@@ -127,6 +127,8 @@
     std::vector<stream_note> streams;
     /// The sender does not know which streams others have sent.
     bool wants_streams = false;
+    /// Its news of endpoints has stayed away, and it may have missed a release.
+    bool wants_releases = false;
     /// In a copy, with `streams`: what the sender knows of releases.
     std::optional<release_history> releases;
 };
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -265,9 +265,11 @@
     }
     /// What is known of streams, for an instance that has started; nothing if
     /// that is too little.
-    [[nodiscard]] std::optional<stream_copy> copy_streams(time_point now) const
+    /// \param has_started the one who asks lacks all streams; else releases.
+    [[nodiscard]] std::optional<stream_copy>
+    copy_streams(time_point now, bool has_started) const
     {
-        return streams_.copy(now);
+        return streams_.copy(now, has_started);
     }
     /// Tells the others once more of the streams of this instance.
     void retell_streams() { streams_.retell(); }
--- a/packages/core/include/sycamorelock/core/direct/stream_releases.hpp
+++ b/packages/core/include/sycamorelock/core/direct/stream_releases.hpp
@@ -93,7 +93,8 @@
     /// An instance that has started asks others for what they know, and for no
     /// longer than this.
     static constexpr duration patience = std::chrono::seconds(3);
-    /// Whoever has watched for less than others ask knows no more than they.
+    /// Whoever has run or watched for less than others ask knows no more than
+    /// they.
     static constexpr duration settled_after = patience + fresh_for;
     /// Callers that take up a stream that had ended here do so within this
     /// time: they lost its last bytes.
@@ -151,10 +152,15 @@
     /// An instance has come that has not heard what was told.
     void retell();
 
-    /// Whether this instance lacks what a copy would bring.
-    [[nodiscard]] bool wants_copy(time_point now) const;
+    /// Whether this instance has just started and lacks what others told.
+    [[nodiscard]] bool wants_streams(time_point now) const;
+    /// Whether it may have missed a release, and others can tell.
+    [[nodiscard]] bool wants_releases(time_point now) const;
     /// What is known here; nothing if that is too little.
-    [[nodiscard]] std::optional<stream_copy> copy(time_point now) const;
+    /// \param has_started the one who asks lacks all streams. Otherwise it has
+    /// missed a release, as have all if the store was away.
+    [[nodiscard]] std::optional<stream_copy> copy(time_point now,
+                                                  bool has_started) const;
     void adopt(time_point now, const stream_copy& known);
 
     /// Streams that are remembered.
@@ -234,9 +240,11 @@
     time_point current_at_;
     /// Since when no release can have been missed.
     std::optional<time_point> watched_since_;
-    /// Since when others are asked for a copy, until one has come.
-    std::optional<time_point> asked_since_;
-    bool informed_ = false;
+    std::optional<time_point> started_;
+    bool has_copy_ = false;
+    /// Since when others are asked for releases, until one has told them.
+    time_point asked_since_;
+    bool is_informed_ = false;
     memory own_;
     memory told_;
     /// Streams of this instance that it has not told.
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -500,7 +500,8 @@
     notes_.clear();
     report.demands = shares_.own(now);
     report.streams = streams_.take_untold(now);
-    report.wants_streams = streams_.wants_copy(now);
+    report.wants_streams = streams_.wants_streams(now);
+    report.wants_releases = streams_.wants_releases(now);
     report.warming.clear();
     for (const auto& [id, state] : endpoints_)
     {
--- a/packages/core/lib/direct/stream_releases.cpp
+++ b/packages/core/lib/direct/stream_releases.cpp
@@ -99,8 +99,8 @@
 
 void stream_releases::set_current(time_point now, time_point at)
 {
-    if (!asked_since_)
-        asked_since_ = now;
+    if (!started_)
+        started_ = now;
     if (at <= current_at_)
         return;
     // What came and went meanwhile may not have been seen.
@@ -108,7 +108,7 @@
     {
         watched_since_.reset();
         asked_since_ = now;
-        informed_ = false;
+        is_informed_ = false;
     }
     if (!watched_since_)
         watched_since_ = at;
@@ -293,14 +293,22 @@
         remember_untold(key, sent);
 }
 
-bool stream_releases::wants_copy(time_point now) const
+bool stream_releases::wants_streams(time_point now) const
+{
+    return !has_copy_ && started_ && now - *started_ < patience;
+}
+
+bool stream_releases::wants_releases(time_point now) const
 {
-    return !informed_ && asked_since_ && now - *asked_since_ < patience;
+    return !is_informed_ && watched_since_ && now - asked_since_ < patience;
 }
 
-std::optional<stream_copy> stream_releases::copy(time_point now) const
+std::optional<stream_copy> stream_releases::copy(time_point now,
+                                                 bool has_started) const
 {
-    if (!watched_since_ || now - *watched_since_ < settled_after)
+    const std::optional<time_point>& since =
+        has_started ? started_ : watched_since_;
+    if (!since || now - *since < settled_after)
         return std::nullopt;
     stream_copy made;
     for (const memory* from : {&own_, &told_})
@@ -327,7 +335,7 @@
                         : std::chrono::floor<milliseconds>(now - last)});
         }
     }
-    if (is_fresh(now))
+    if (is_fresh(now) && watched_since_)
         made.releases.watched_for =
             std::chrono::floor<milliseconds>(now - *watched_since_);
     return made;
@@ -335,18 +343,18 @@
 
 void stream_releases::adopt(time_point now, const stream_copy& known)
 {
+    has_copy_ = true;
     for (const stream_note& each : known.streams)
         learn(now, each);
     dropped_ += told_.drop(now - kept_for_, most_told);
     for (const release_sight& each : known.releases.seen)
         see(now - each.age, each.service, each.release);
     // Without news of its own this instance may miss what came since.
-    if (!watched_since_ || !is_fresh(now) ||
-        known.releases.watched_for == milliseconds(0))
+    if (!watched_since_ || !is_fresh(now))
         return;
     watched_since_ =
         std::min<time_point>(*watched_since_, now - known.releases.watched_for);
-    informed_ = true;
+    is_informed_ = known.releases.watched_for >= settled_after;
 }
 
 void stream_releases::sweep(time_point now)
--- a/packages/wire/lib/exchange_codec.cpp
+++ b/packages/wire/lib/exchange_codec.cpp
@@ -189,6 +189,7 @@
         item->add_keys(note.key.value());
     }
     out.set_wants_streams(report.wants_streams);
+    out.set_wants_releases(report.wants_releases);
     if (!report.releases)
         return;
     pb::ReleaseHistory& history = *out.mutable_releases();
@@ -213,6 +214,7 @@
                  direct::release_id(item.release()), item.attempt()});
     }
     report.wants_streams = message.wants_streams();
+    report.wants_releases = message.wants_releases();
     if (!message.has_releases())
         return;
     direct::release_history& history = report.releases.emplace();
--- a/packages/wire/unittests/exchange_codec_test.cpp
+++ b/packages/wire/unittests/exchange_codec_test.cpp
@@ -62,6 +62,7 @@
                       {direct::stream_key(82), service, release, 1},
                       {direct::stream_key(83), service, release, 2}};
     report.wants_streams = true;
+    report.wants_releases = true;
     report.releases = {{{service, release, std::chrono::milliseconds(700)}},
                        std::chrono::milliseconds(21000)};
     return report;
@@ -144,11 +145,13 @@
     const auto got = back_and_forth(sent);
     cr_expect(got.streams == sent.streams);
     cr_expect(got.wants_streams);
+    cr_expect(got.wants_releases);
     cr_assert(got.releases.has_value());
     cr_expect(*got.releases == *sent.releases);
     cr_expect_str_eq(got.store.endpoints->at(0).version.c_str(), "v1.2");
     cr_expect_not(back_and_forth({}).releases.has_value());
     cr_expect_not(back_and_forth({}).wants_streams);
+    cr_expect_not(back_and_forth({}).wants_releases);
 }
 
 // Guards against news of streams that fills the links of a large fleet.
--- a/test/integration/direct_starts_test.cpp
+++ b/test/integration/direct_starts_test.cpp
@@ -101,6 +101,32 @@
         "%s", placement_of(fleet, 2, id).c_str());
 }
 
+// Guards against streams that an instance refuses, as it has just started and
+// does not know which releases began them.
+Test(direct_starts, an_instance_learns_from_others_which_releases_there_were)
+{
+    direct_plan plan;
+    plan.instances = 3;
+    direct_fleet fleet(plan);
+    ask_about_subject(fleet, 0);
+    // Those that answer have run for longer than others ask.
+    std::this_thread::sleep_for(std::chrono::seconds(7));
+    direct_instance& again = fleet.at(2);
+    fleet.kill(again);
+    fleet.start(again);
+    fleet.wait_ready();
+    cr_assert(eventually(
+        [&] {
+            return fleet.log_of(again).find("streams_learned") !=
+                   std::string::npos;
+        },
+        milliseconds(2000)));
+    // They watched the store, too.
+    const std::string log = fleet.log_of(again);
+    cr_expect(log.find("\"watched_ms\":\"0\"") == std::string::npos, "%s",
+              log.c_str());
+}
+
 // When all start together nobody knows anything, and nobody is asked for long.
 Test(direct_starts, a_whole_fleet_that_starts_tells_itself_nothing)
 {
@@ -115,5 +141,7 @@
         const std::string log = fleet.log_of(fleet.at(i));
         cr_expect(log.find("caches_passed_on") == std::string::npos);
         cr_expect(log.find("caches_learned") == std::string::npos);
+        cr_expect(log.find("streams_passed_on") == std::string::npos);
+        cr_expect(log.find("streams_learned") == std::string::npos);
     }
 }
