--- a/packages/core/unittests/direct_releases_test.cpp
+++ b/packages/core/unittests/direct_releases_test.cpp
@@ -358,6 +358,47 @@
     cr_expect(started.streams.wants_releases(started.now));
 }
 
+// Guards against lost and guessed streams when most instances start anew at the
+// same moment in the middle of a release, before anyone has watched for long.
+Test(direct_releases, most_that_start_anew_in_a_release_learn_from_the_rest)
+{
+    constexpr std::size_t instances = 8;
+    constexpr std::size_t restarted = 5;
+    std::vector<watcher> all(instances);
+    for (watcher& each : all)
+        each.list({first, second});
+    for (watcher& each : all)
+        each.pass(seconds(8));
+    std::vector<stream_note> sent;
+    for (std::size_t i = 0; i < instances; ++i)
+        sent.push_back(
+            sent_to(i % 2 == 0 ? first : second, "by " + std::to_string(i)));
+    for (std::size_t i = 0; i < instances; ++i)
+    {
+        all[i].streams.note(all[i].now, sent[i]);
+        const auto told = all[i].streams.take_untold(all[i].now);
+        for (watcher& each : all)
+            each.streams.hear(each.now, told);
+    }
+    const auto copy = all.back().streams.copy(all.back().now, true);
+    cr_assert(copy.has_value());
+    for (std::size_t i = 0; i < restarted; ++i)
+    {
+        all[i] = watcher(all.back().now);
+        all[i].list({first, second});
+        cr_expect(all[i].streams.wants_streams(all[i].now));
+        all[i].streams.adopt(all[i].now, *copy);
+    }
+    for (const watcher& each : all)
+    {
+        for (const stream_note& stream : sent)
+            cr_expect(each.streams.find(each.now, stream.key).release ==
+                      stream.release);
+        cr_expect(each.source_of("never told") == stream_source::unknown);
+        cr_expect_not(each.streams.sole(each.now, drafts).has_value());
+    }
+}
+
 // Guards against the release of an attempt that brought nothing, when the
 // request was repeated at another one and news of both arrive out of order.
 Test(direct_releases, of_two_attempts_the_later_one_holds)
