--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -369,6 +369,9 @@
     single(out, "peer_connections_unreadable_total", "counter",
            "Connections of other instances closed as unreadable.",
            unreadable_connections_);
+    single(out, "stream_news_dropped_total", "counter",
+           "News of streams that was left out of a round of reports.",
+           stream_relay_.dropped());
     single(out, "store_followed", "gauge",
            "Whether this instance reads the store itself.",
            std::uint64_t{store_.following() ? 1U : 0U});
--- a/packages/core/include/sycamorelock/core/direct/note_relay.hpp
+++ b/packages/core/include/sycamorelock/core/direct/note_relay.hpp
@@ -35,10 +35,23 @@
     /// For members: all since the previous call.
     [[nodiscard]] std::vector<Note> take_all();
 
+    /// Notes left out so far. Lists that nobody takes do not count.
+    [[nodiscard]] std::uint64_t dropped() const { return dropped_; }
+
   private:
-    std::vector<Note> own_;
-    std::vector<Note> domain_;
-    std::vector<Note> all_;
+    /// A list, and how many notes it has lost since it was taken.
+    struct list
+    {
+        std::vector<Note> notes;
+        std::uint64_t lost = 0;
+    };
+    static void append(list& to, const std::vector<Note>& notes);
+    std::vector<Note> take(list& from);
+
+    list own_;
+    list domain_;
+    list all_;
+    std::uint64_t dropped_ = 0;
 };
 
 /// Two seconds of the design size's 1,700 requests a second.
--- a/packages/core/lib/direct/note_relay.cpp
+++ b/packages/core/lib/direct/note_relay.cpp
@@ -7,59 +7,62 @@
 namespace sycamorelock::core::direct
 {
 
-namespace
-{
-
-template <class Note>
-void append(std::vector<Note>& to, const std::vector<Note>& notes,
-            std::size_t most)
+template <class Note, std::size_t Most>
+void relay<Note, Most>::append(list& to, const std::vector<Note>& notes)
 {
-    to.insert(to.end(), notes.begin(), notes.end());
-    if (to.size() <= most)
+    to.notes.insert(to.notes.end(), notes.begin(), notes.end());
+    if (to.notes.size() <= Most)
         return;
-    const auto excess = static_cast<std::ptrdiff_t>(to.size() - most);
-    to.erase(to.begin(), to.begin() + excess);
+    const std::size_t excess = to.notes.size() - Most;
+    to.notes.erase(to.notes.begin(),
+                   to.notes.begin() + static_cast<std::ptrdiff_t>(excess));
+    to.lost += excess;
 }
 
-} // namespace
+template <class Note, std::size_t Most>
+std::vector<Note> relay<Note, Most>::take(list& from)
+{
+    dropped_ += from.lost;
+    return std::exchange(from, {}).notes;
+}
 
 template <class Note, std::size_t Most>
 void relay<Note, Most>::add_own(std::vector<Note> notes)
 {
-    append(own_, notes, Most);
-    append(domain_, notes, Most);
-    append(all_, notes, Most);
+    append(own_, notes);
+    append(domain_, notes);
+    append(all_, notes);
 }
 
 template <class Note, std::size_t Most>
 void relay<Note, Most>::add_member(const std::vector<Note>& notes)
 {
-    append(domain_, notes, Most);
-    append(all_, notes, Most);
+    append(domain_, notes);
+    append(all_, notes);
 }
 
 template <class Note, std::size_t Most>
 void relay<Note, Most>::add_domain(const std::vector<Note>& notes)
 {
-    append(all_, notes, Most);
+    append(all_, notes);
 }
 
 template <class Note, std::size_t Most>
 std::vector<Note> relay<Note, Most>::take_own()
 {
-    return std::exchange(own_, {});
+    return take(own_);
 }
 
 template <class Note, std::size_t Most>
 std::vector<Note> relay<Note, Most>::take_domain()
 {
-    return std::exchange(domain_, {});
+    return take(domain_);
 }
 
 template <class Note, std::size_t Most>
 std::vector<Note> relay<Note, Most>::take_all()
 {
-    return std::exchange(all_, {});
+    return take(all_);
 }
 
 template class relay<cache_note, note_relay::most_notes>;
--- a/packages/wire/unittests/stream_news_test.cpp
+++ b/packages/wire/unittests/stream_news_test.cpp
@@ -337,6 +337,28 @@
     }
 }
 
+// Guards against rounds that grow without bound, and against news that is lost
+// unseen. An instance that aggregates for nobody loses nothing by its lists.
+Test(stream_news, what_a_round_leaves_out_is_counted)
+{
+    stream_relay relay;
+    constexpr std::size_t excess = 10;
+    std::vector<stream_note> news;
+    for (std::size_t i = 0; i < stream_relay::most_notes + excess; ++i)
+        news.push_back({stream_key(i), drafts, releases.front(), 1});
+    relay.add_domain(news);
+    cr_expect_eq(relay.dropped(), 0U);
+    const auto told = relay.take_all();
+    cr_expect_eq(told.size(), stream_relay::most_notes);
+    cr_expect(told.front().key == stream_key(excess));
+    cr_expect_eq(relay.dropped(), excess);
+    cr_expect(relay.take_all().empty());
+    cr_expect_eq(relay.dropped(), excess);
+    relay.add_own(news);
+    cr_expect_eq(relay.take_own().size(), stream_relay::most_notes);
+    cr_expect_eq(relay.dropped(), 2 * excess);
+}
+
 // Guards against news that costs more than the keys, told once to each. It is
 // sent only while a service has two releases.
 Test(stream_news, an_instance_receives_each_stream_once)
