--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -200,6 +200,7 @@
     // Gossip asks a few already; all members would answer.
     other.wants_caches = false;
     other.wants_streams = false;
+    other.wants_releases = false;
     core::direct::exchange_sum sum = tree_.domain_sum(at);
     other.part = report_part::domain;
     other.work = std::move(sum.work);
@@ -368,6 +369,9 @@
     single(out, "peer_connections_unreadable_total", "counter",
            "Connections of other instances closed as unreadable.",
            unreadable_connections_);
+    single(out, "stream_news_dropped_total", "counter",
+           "News of streams that was left out of a round of reports.",
+           stream_relay_.dropped());
     single(out, "store_followed", "gauge",
            "Whether this instance reads the store itself.",
            std::uint64_t{store_.following() ? 1U : 0U});
