--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
@@ -35,7 +35,7 @@
     std::map<std::string, std::uint64_t> retried;
     std::map<std::string, std::uint64_t> ended;
     std::map<std::string, std::uint64_t> withheld;
-    /// By whether the caller names the attempt that began the stream.
+    /// By how their release became known.
     std::map<std::string, std::uint64_t> resumed;
     std::map<std::string, std::unique_ptr<service_latency>> latency;
 
--- a/packages/adapters/lib/direct/control_plane_endpoints.cpp
+++ b/packages/adapters/lib/direct/control_plane_endpoints.cpp
@@ -2,6 +2,8 @@
 // itself or told by others.
 #include "sycamorelock/adapters/direct/control_plane.hpp"
 
+#include "release_text.hpp"
+
 #include "sycamorelock/adapters/clocks.hpp"
 
 namespace sycamorelock::adapters::direct
@@ -26,6 +28,7 @@
                {{"endpoint", record.boot},
                 {"address", record.address},
                 {"version", record.version},
+                {"release", to_text(record.release())},
                 {"started_ms", std::to_string(record.started_ms)},
                 {"warmup_left_ms", std::to_string(record.warmup_left.count())},
                 {"revision", std::to_string(record.revision)},
--- a/packages/adapters/lib/direct/open_request.hpp
+++ b/packages/adapters/lib/direct/open_request.hpp
@@ -20,6 +20,8 @@
     core::service_id service;
     std::string service_name;
     std::string account_name;
+    /// Its stream, if callers may resume it and have named it.
+    std::optional<core::direct::stream_key> stream;
     std::set<core::endpoint_id> tried;
     unsigned attempts = 0;
     /// When the first event, or a whole answer, came; zero if none did.
@@ -35,6 +37,13 @@
         return (meta.last_event || !meta.resumes.empty()) &&
                profile.way->resumable;
     }
+    void set_service(core::service_id id)
+    {
+        service = id;
+        const auto found = config->services.find(id);
+        service_name = found == config->services.end() ? std::string()
+                                                       : found->second.name;
+    }
     /// Host field without a port.
     [[nodiscard]] std::string_view host() const
     {
--- a/packages/adapters/lib/direct/request_log.cpp
+++ b/packages/adapters/lib/direct/request_log.cpp
@@ -1,6 +1,8 @@
 // One line for each decision.
 #include "request_log.hpp"
 
+#include "release_text.hpp"
+
 #include "sycamorelock/adapters/clocks.hpp"
 
 namespace sycamorelock::adapters::direct
@@ -77,10 +79,12 @@
          {"config", std::to_string(request.config->version)}});
 }
 
-void request_log::resumed(const open_request& request)
+void request_log::resumed(const open_request& request,
+                          const core::direct::stream_resolution& found)
 {
+    const std::string source(to_string(found.source));
+    ++context_.metrics.resumed[source];
     const std::string& begun_by = request.meta.resumes;
-    ++context_.metrics.resumed[begun_by.empty() ? "unnamed" : "named"];
     context_.log.write(
         direct_event::stream_resumed,
         {{"request", request.meta.attempt_id},
@@ -89,7 +93,10 @@
          {"resumes", begun_by.empty() ? "none" : begun_by},
          {"last_event", request.meta.last_event
                             ? std::to_string(*request.meta.last_event)
-                            : "none"}});
+                            : "none"},
+         {"source", source},
+         {"release", found.release ? to_text(*found.release) : "none"},
+         {"waited_ms", ms_text(now() - request.profile.arrived)}});
 }
 
 void request_log::placed(const open_request& request,
--- a/packages/adapters/lib/direct/request_log.hpp
+++ b/packages/adapters/lib/direct/request_log.hpp
@@ -17,7 +17,8 @@
     void refused(const open_request& request,
                  const core::direct::refusal_decision& decided);
     /// The request goes on with a stream that another attempt began.
-    void resumed(const open_request& request);
+    void resumed(const open_request& request,
+                 const core::direct::stream_resolution& found);
     void placed(const open_request& request,
                 const core::direct::placement_decision& decided);
     /// The request goes to another endpoint after an attempt at `boot`.
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -53,7 +53,7 @@
 request_session::request_session(tcp::socket socket, traffic_context& context,
                                  std::function<void(request_session*)> ended)
     : socket_(std::move(socket)), context_(context), ended_(std::move(ended)),
-      out_(socket_), log_(context), opened_at_(now())
+      out_(socket_), log_(context), streams_(context), opened_at_(now())
 {
     make_eager(socket_);
 }
@@ -219,8 +219,13 @@
     if (!co_await prepare(request))
         co_return;
     ++context_.metrics.accepted;
-    if (request.resumes_stream())
-        log_.resumed(request);
+    if (!co_await streams_.bind(request))
+    {
+        const refusal_decision refused =
+            context_.router.refuse_unknown_release();
+        co_await answer_refusal(request, refused);
+        co_return;
+    }
     auto decided = context_.router.decide(
         now(), request.profile, request.service, request.tried, false);
     if (const auto* refused = std::get_if<refusal_decision>(&decided))
@@ -319,10 +324,7 @@
         profile.arrived +
         std::min(request.meta.time_left.value_or(way->timeout), way->timeout);
     context_.router.admit(profile.arrived, profile);
-    request.service = context_.router.pick_service(*way);
-    const auto service = config.services.find(request.service);
-    if (service != config.services.end())
-        request.service_name = service->second.name;
+    request.set_service(context_.router.pick_service(*way));
     co_return true;
 }
 
@@ -343,6 +345,7 @@
     ++request.attempts;
     request.tried.insert(placed.hold.endpoint);
     log_.placed(request, placed);
+    streams_.sending(request, placed);
     const bool more = request.attempts < way.max_attempts;
     attempt tried(context_,
                   {request.message, request.meta, request.profile,
@@ -351,6 +354,7 @@
     attempt_ = &tried;
     const attempt_end end = co_await tried.run();
     attempt_ = nullptr;
+    streams_.tried(request, placed);
     if (request.first == core::time_point())
         request.first = tried.first_at();
     request.longest_pause =
@@ -383,6 +387,7 @@
     }
     if (end == attempt_end::complete)
     {
+        streams_.complete(request);
         log_.ended(request, "complete", tried.status());
         co_return true;
     }
--- a/packages/adapters/lib/direct/request_session.hpp
+++ b/packages/adapters/lib/direct/request_session.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "request_log.hpp"
+#include "stream_binding.hpp"
 
 #include <memory>
 
@@ -83,6 +84,7 @@
     beast::flat_buffer buffer_;
     answer_writer out_;
     request_log log_;
+    stream_binding streams_;
     watchdog::limit limit_;
     attempt* attempt_ = nullptr;
     std::uint64_t number_ = 0;
--- a/packages/adapters/lib/direct/traffic_metrics.cpp
+++ b/packages/adapters/lib/direct/traffic_metrics.cpp
@@ -53,9 +53,9 @@
              "Attempts not sent, by what had become known of the endpoint "
              "since it was chosen.",
              withheld);
-    labelled(out, "resumed_total", "stream",
+    labelled(out, "resumed_total", "source",
              "Requests that go on with a stream that another attempt began, by "
-             "whether they name it.",
+             "how its release became known.",
              resumed);
     labelled(out, "ended_total", "outcome", "Requests ended, by outcome.",
              ended);
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -135,6 +135,12 @@
         single(out, "endpoints_warming", "gauge",
                "Endpoints that warm up and get a limited part of requests.",
                std::uint64_t{router_.warming(now())});
+        single(out, "streams_remembered", "gauge",
+               "Streams whose release is known in case they are resumed.",
+               std::uint64_t{router_.streams().kept()});
+        single(out, "streams_dropped_total", "counter",
+               "Streams forgotten before their time, as there were too many.",
+               router_.streams().dropped());
         single(out, "endpoint_news_age_seconds", "gauge",
                "Age of what is known of endpoints.",
                std::chrono::duration<double>(news_.at(now())).count());
--- a/test/integration/releases_test.cpp
+++ b/test/integration/releases_test.cpp
@@ -17,8 +17,10 @@
 /// Streams that are taken up at the same time.
 constexpr std::size_t streams = 12;
 /// For this long an instance watches which versions are listed before it tells
-/// a stream's version by their being one.
-constexpr seconds history_time{10};
+/// a stream's version by their being one: the time for which streams of these
+/// routes are remembered, and that by which two instances may see a version
+/// come and go apart.
+constexpr seconds history_time{15};
 
 /// Engines of two versions in turn.
 direct_plan mixed_plan(std::size_t instances)
@@ -233,6 +235,9 @@
     for (int round = 0; round < 4; ++round)
     {
         direct_fleet fleet(mixed_plan(2));
+        cr_assert(eventually(
+            [&] { return fleet.that_say("sycamorelock_peers_live 1") == 2; },
+            seconds(5)));
         auto begun = begin_streams(fleet, {0, 1});
         cr_assert(eventually(
             [&]
@@ -249,8 +254,8 @@
         {
             const taken_up stream = each.get();
             cr_assert_not(stream.attempts.empty());
-            cr_expect_eq(stream.last.status, 200U, "status %u",
-                         stream.last.status);
+            cr_expect_eq(stream.last.status, 200U, "%u %s", stream.last.status,
+                         stream.last.body.c_str());
             cr_expect(stream.last.whole);
             cr_expect_eq(versions_of(fleet, stream).size(), 1U);
         }
@@ -275,7 +280,7 @@
     {
         const direct_call again = resumption(fleet, 1, id, stream.second);
         const direct_answer got = ask(again);
-        cr_expect_eq(got.status, 200U, "status %u", got.status);
+        cr_expect_eq(got.status, 200U, "%u %s", got.status, got.body.c_str());
         cr_expect(fleet.versions_of(again.id) ==
                   std::set<std::string>{stream.first});
     }
