--- a/packages/cli/lib/log_explainer.cpp
+++ b/packages/cli/lib/log_explainer.cpp
@@ -35,6 +35,7 @@
     line.level = log_text(in, "level");
     line.request = log_text(in, "request");
     line.endpoint = log_text(in, "endpoint");
+    line.resumes = log_text(in, "resumes");
     for (const auto& [name, value] : in)
     {
         if (std::find(common_fields.begin(), common_fields.end(), name) !=
@@ -64,22 +65,30 @@
                      { return a.at_ms < b.at_ms; });
 }
 
+std::vector<log_line> log_explainer::lines_of(const std::string& request) const
+{
+    std::vector<log_line> result;
+    std::copy_if(lines_.begin(), lines_.end(), std::back_inserter(result),
+                 [&](const log_line& line) { return line.request == request; });
+    return result;
+}
+
 std::vector<log_line> log_explainer::story(const std::string& request) const
 {
-    std::vector<log_line> own;
+    const std::vector<log_line> own = lines_of(request);
+    if (own.empty())
+        return own;
     std::set<std::string> instances;
     std::set<std::string> endpoints;
-    for (const log_line& line : lines_)
+    std::set<std::string> begun_by;
+    for (const log_line& line : own)
     {
-        if (line.request != request)
-            continue;
-        own.push_back(line);
         instances.insert(line.instance);
         if (!line.endpoint.empty())
             endpoints.insert(line.endpoint);
+        if (!line.resumes.empty() && line.resumes != request)
+            begun_by.insert(line.resumes);
     }
-    if (own.empty())
-        return own;
     // The newest of each kind of belief before the first decision.
     std::map<std::string, log_line> before;
     for (const log_line& line : lines_)
@@ -98,6 +107,11 @@
     for (const auto& [key, line] : before)
         result.push_back(line);
     result.insert(result.end(), own.begin(), own.end());
+    for (const std::string& attempt : begun_by)
+    {
+        const std::vector<log_line> first = lines_of(attempt);
+        result.insert(result.end(), first.begin(), first.end());
+    }
     std::stable_sort(result.begin(), result.end(),
                      [](const log_line& a, const log_line& b)
                      { return a.at_ms < b.at_ms; });
--- a/packages/cli/lib/log_explainer.hpp
+++ b/packages/cli/lib/log_explainer.hpp
@@ -19,6 +19,8 @@
     std::string fields;
     std::string request;
     std::string endpoint;
+    /// Attempt that began the stream which the request goes on with.
+    std::string resumes;
 };
 
 /// Collects log lines and tells what concerns one request.
@@ -32,11 +34,15 @@
     /// Lines of the request in time order over all instances, and before its
     /// first decision what each instance that handled it last believed: its
     /// configuration, its store, its peers and the endpoint that was chosen.
+    /// For a stream that goes on also the lines of the attempt that began it.
     [[nodiscard]] std::vector<log_line> story(const std::string& request) const;
 
     [[nodiscard]] std::size_t unreadable() const { return unreadable_; }
 
   private:
+    [[nodiscard]] std::vector<log_line>
+    lines_of(const std::string& request) const;
+
     std::vector<log_line> lines_;
     std::size_t unreadable_ = 0;
 };
--- a/test/integration/cli_test.cpp
+++ b/test/integration/cli_test.cpp
@@ -223,6 +223,25 @@
     cr_expect(says(none, "no line tells of request r9"));
 }
 
+// Guards against a resumed stream whose line does not tell where it began.
+Test(cli, explain_shows_the_attempt_that_began_a_resumed_stream)
+{
+    const scratch_file log(
+        "resumed.log",
+        R"({"ts_ms":10,"name":"request_placed","instance":"edge-1","request":"r1","endpoint":"e1","version":"v1"}
+{"ts_ms":15,"name":"request_placed","instance":"edge-1","request":"r3","endpoint":"e1","version":"v1"}
+{"ts_ms":20,"name":"stream_resumed","instance":"edge-2","request":"r2","resumes":"r1","source":"told"}
+{"ts_ms":21,"name":"request_placed","instance":"edge-2","request":"r2","endpoint":"e2","version":"v1"}
+)");
+    const outcome found = sycamorelock("explain r2 --log " + log.path());
+    cr_expect_eq(found.status, 0);
+    cr_expect(says(found, "10 edge-1 request_placed request=r1 endpoint=e1 "
+                          "version=v1"));
+    cr_expect(says(found, "20 edge-2 stream_resumed request=r2 resumes=r1 "
+                          "source=told"));
+    cr_expect_not(says(found, "r3"));
+}
+
 Test(cli, losses_are_counted_by_cause)
 {
     const auto line = [](const std::string& name, const std::string& request,
