--- a/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
@@ -155,6 +155,8 @@
     core::direct::cache_copies copies_;
     core::direct::help_pace caches_pace_;
     core::direct::help_pace streams_pace_;
+    /// Starts of others to which the own streams were told once more.
+    std::map<std::string, std::uint64_t> retold_to_;
     core::time_point next_gossip_;
     core::time_point next_members_;
     std::size_t live_ = 0;
--- a/packages/adapters/lib/direct/control_plane_help.cpp
+++ b/packages/adapters/lib/direct/control_plane_help.cpp
@@ -122,6 +122,15 @@
 void control_plane::help_with_streams(const exchange_report& started)
 {
     const core::time_point at = now();
+    // It has not heard what was told before it started, and a copy comes only
+    // from those that have run for some time.
+    std::uint64_t& retold = retold_to_[started.sender];
+    if (started.wants_streams && retold != started.incarnation &&
+        !peers_.large(at))
+    {
+        retold = started.incarnation;
+        traffic_.retell_streams();
+    }
     const bool asks = started.wants_streams || started.wants_releases;
     if (!asks || !is_drawn(at) || !streams_pace_.allow(at, started.sender))
         return;
