--- a/packages/adapters/lib/direct/open_request.hpp
+++ b/packages/adapters/lib/direct/open_request.hpp
@@ -20,6 +20,8 @@
     core::service_id service;
     std::string service_name;
     std::string account_name;
+    /// Its stream, if callers may resume it and have named it.
+    std::optional<core::direct::stream_key> stream;
     std::set<core::endpoint_id> tried;
     /// Where the request goes after the attempt that is under way, if an
     /// endpoint was secured for that.
@@ -36,6 +38,19 @@
     std::string_view not_repeated;
     event_splitter events;
 
+    /// Whether it goes on with a stream that another attempt began.
+    [[nodiscard]] bool resumes_stream() const
+    {
+        return (meta.last_event || !meta.resumes.empty()) &&
+               profile.way->resumable;
+    }
+    void set_service(core::service_id id)
+    {
+        service = id;
+        const auto found = config->services.find(id);
+        service_name = found == config->services.end() ? std::string()
+                                                       : found->second.name;
+    }
     /// Host field without a port.
     [[nodiscard]] std::string_view host() const
     {
--- a/packages/adapters/lib/direct/traffic_metrics.cpp
+++ b/packages/adapters/lib/direct/traffic_metrics.cpp
@@ -61,6 +61,10 @@
              "Limits on the silence of an endpoint that were reached, by the "
              "state of the connection.",
              silences);
+    labelled(out, "resumed_total", "source",
+             "Requests that go on with a stream that another attempt began, by "
+             "how its release became known.",
+             resumed);
     labelled(out, "ended_total", "outcome", "Requests ended, by outcome.",
              ended);
     distributions(out, "first_seconds",
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -135,6 +135,12 @@
         single(out, "endpoints_warming", "gauge",
                "Endpoints that warm up and get a limited part of requests.",
                std::uint64_t{router_.warming(now())});
+        single(out, "streams_remembered", "gauge",
+               "Streams whose release is known in case they are resumed.",
+               std::uint64_t{router_.streams().kept()});
+        single(out, "streams_dropped_total", "counter",
+               "Streams forgotten before their time, as there were too many.",
+               router_.streams().dropped());
         single(out, "endpoint_news_age_seconds", "gauge",
                "Age of what is known of endpoints.",
                std::chrono::duration<double>(news_.at(now())).count());
@@ -217,6 +223,7 @@
         if (delay_.tick(at))
             tell_delay(at);
         limits_.tick(at);
+        router_.set_endpoints_current(at, at - news_.at(at));
         crowded_ = sessions_.size() > crowded_at_;
         if (sessions_.size() > full_at_)
             make_room();
@@ -293,7 +300,7 @@
     std::shared_ptr<const core::direct::catalogue> newer)
 {
     asio::post(impl_->io(), [impl = impl_, newer = std::move(newer)]
-               { impl->router().install(newer); });
+               { impl->router().install(now(), newer); });
 }
 
 void traffic_plane::set_endpoints(
@@ -355,6 +362,36 @@
                { done(impl->router().copy_caches(now())); });
 }
 
+void traffic_plane::on_streams(std::vector<core::direct::stream_note> told)
+{
+    asio::post(impl_->io(), [impl = impl_, told = std::move(told)]
+               { impl->router().on_streams(now(), told); });
+}
+
+void traffic_plane::adopt_streams(core::direct::stream_copy known)
+{
+    asio::post(impl_->io(), [impl = impl_, known = std::move(known)]
+               { impl->router().adopt_streams(now(), known); });
+}
+
+void traffic_plane::copy_streams(
+    bool has_started, std::function<void(core::direct::stream_copy)> done)
+{
+    asio::post(impl_->io(),
+               [impl = impl_, has_started, done = std::move(done)]
+               {
+                   auto known = impl->router().copy_streams(now(), has_started);
+                   if (known)
+                       done(std::move(*known));
+               });
+}
+
+void traffic_plane::retell_streams()
+{
+    asio::post(impl_->io(),
+               [impl = impl_] { impl->router().retell_streams(); });
+}
+
 void traffic_plane::note_endpoints_current(core::time_point at)
 {
     impl_->news().set_current_at(at);
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -126,6 +126,8 @@
     event_kind{3007, info, "endpoint_silent",
                "Nothing was read of an endpoint within a limit; `connection` "
                "tells whether something waits to be read."},
+    event_kind{3008, info, "stream_resumed",
+               "A request goes on with a stream that another attempt began."},
     event_kind{3101, info, "endpoint_seen",
                "An endpoint registered or changed its entry."},
     event_kind{3102, info, "endpoint_drains",
@@ -159,6 +161,11 @@
                "Another instance has started and was sent what engines keep."},
     event_kind{3206, info, "caches_learned",
                "Another instance has sent what engines keep."},
+    event_kind{3207, info, "streams_passed_on",
+               "Another instance has started and was sent which releases "
+               "streams began at."},
+    event_kind{3208, info, "streams_learned",
+               "Another instance has sent which releases streams began at."},
     event_kind{3301, warn, "store_lost",
                "The configuration store does not answer as it should."},
     event_kind{3302, info, "store_back",
--- a/packages/core/lib/direct/note_relay.cpp
+++ b/packages/core/lib/direct/note_relay.cpp
@@ -7,52 +7,65 @@
 namespace sycamorelock::core::direct
 {
 
-namespace
+template <class Note, std::size_t Most>
+void relay<Note, Most>::append(list& to, const std::vector<Note>& notes)
 {
-
-void append(std::vector<cache_note>& to, const std::vector<cache_note>& notes)
-{
-    to.insert(to.end(), notes.begin(), notes.end());
-    if (to.size() <= note_relay::most_notes)
+    to.notes.insert(to.notes.end(), notes.begin(), notes.end());
+    if (to.notes.size() <= Most)
         return;
-    const auto excess =
-        static_cast<std::ptrdiff_t>(to.size() - note_relay::most_notes);
-    to.erase(to.begin(), to.begin() + excess);
+    const std::size_t excess = to.notes.size() - Most;
+    to.notes.erase(to.notes.begin(),
+                   to.notes.begin() + static_cast<std::ptrdiff_t>(excess));
+    to.lost += excess;
 }
 
-} // namespace
+template <class Note, std::size_t Most>
+std::vector<Note> relay<Note, Most>::take(list& from)
+{
+    dropped_ += from.lost;
+    return std::exchange(from, {}).notes;
+}
 
-void note_relay::add_own(std::vector<cache_note> notes)
+template <class Note, std::size_t Most>
+void relay<Note, Most>::add_own(std::vector<Note> notes)
 {
     append(own_, notes);
     append(domain_, notes);
     append(all_, notes);
 }
 
-void note_relay::add_member(const std::vector<cache_note>& notes)
+template <class Note, std::size_t Most>
+void relay<Note, Most>::add_member(const std::vector<Note>& notes)
 {
     append(domain_, notes);
     append(all_, notes);
 }
 
-void note_relay::add_domain(const std::vector<cache_note>& notes)
+template <class Note, std::size_t Most>
+void relay<Note, Most>::add_domain(const std::vector<Note>& notes)
 {
     append(all_, notes);
 }
 
-std::vector<cache_note> note_relay::take_own()
+template <class Note, std::size_t Most>
+std::vector<Note> relay<Note, Most>::take_own()
 {
-    return std::exchange(own_, {});
+    return take(own_);
 }
 
-std::vector<cache_note> note_relay::take_domain()
+template <class Note, std::size_t Most>
+std::vector<Note> relay<Note, Most>::take_domain()
 {
-    return std::exchange(domain_, {});
+    return take(domain_);
 }
 
-std::vector<cache_note> note_relay::take_all()
+template <class Note, std::size_t Most>
+std::vector<Note> relay<Note, Most>::take_all()
 {
-    return std::exchange(all_, {});
+    return take(all_);
 }
 
+template class relay<cache_note, note_relay::most_notes>;
+template class relay<stream_note, stream_relay::most_notes>;
+
 } // namespace sycamorelock::core::direct
--- a/test/standins/direct_engine.cpp
+++ b/test/standins/direct_engine.cpp
@@ -145,6 +145,18 @@
     return event == paused_event_ ? gap_ + pause_ : gap_;
 }
 
+std::string direct_engine::version() const
+{
+    const std::lock_guard lock(mutex_);
+    return version_;
+}
+
+void direct_engine::set_version(const std::string& version)
+{
+    const std::lock_guard lock(mutex_);
+    version_ = version;
+}
+
 void direct_engine::set_leaving(bool leaving)
 {
     const std::lock_guard lock(mutex_);
