Small fleets are told of a stream with their next tick

While others cannot tell a stream's release, a report goes out with the next tick, as for long prompts. Large fleets report every 50 ms as before.

--- a/packages/core/lib/direct/router_streams.cpp
+++ b/packages/core/lib/direct/router_streams.cpp
@@ -77,7 +77,10 @@
 {
     const bool moves = streams_.note(
         now, {key, at.endpoint.service, at.endpoint.release(), attempt});
-    urgent_ = urgent_ || moves;
+    // Reports of a large fleet come often, and each is passed on by others.
+    const bool is_awaited =
+        !large_fleet_ && streams_.must_tell(now, at.endpoint.service);
+    urgent_ = urgent_ || moves || is_awaited;
 }
 
 void router::note_resumed(time_point now, stream_key key,
