--- a/packages/cli/lib/log_explainer.cpp
+++ b/packages/cli/lib/log_explainer.cpp
@@ -77,7 +77,7 @@
 {
     const std::vector<log_line> own = lines_of(request);
     if (own.empty())
-        return own;
+        return {};
     std::set<std::string> instances;
     std::set<std::string> endpoints;
     std::set<std::string> begun_by;
