A connection takes nothing new at the end of a drain

Cause: since a connection that an answer has kept open takes what its caller sends next, also after the time of lingering, within the 20 ms until the drain ends it as idle. Now only what was read already is taken then; the connection ends after the answer, unread, as before, so that callers may send the request elsewhere.

--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -151,8 +151,11 @@
         co_await handle(request.release());
     busy_ = false;
     // A connection that an answer has kept open takes what its caller sends
-    // next, also when the instance has begun to leave since.
-    co_return keep_&& socket_.is_open();
+    // next, also when the instance has begun to leave since, but not so late
+    // that it may be cut.
+    const bool takes_more = !context_.closing || buffer_.size() > 0;
+    const bool goes_on = keep_ && takes_more && socket_.is_open();
+    co_return goes_on;
 }
 
 asio::awaitable<void> request_session::answer_unreadable(error_code error)
--- a/packages/adapters/lib/direct/traffic_context.hpp
+++ b/packages/adapters/lib/direct/traffic_context.hpp
@@ -46,6 +46,8 @@
     const dialect_table& dialect;
     /// A graceful shutdown has begun: answers end their connection.
     const bool& leaving;
+    /// Nothing new is taken any more: what is taken now may be cut.
+    const bool& closing;
     /// So many callers are connected that answers end their connection.
     const bool& crowded;
     const news_age& endpoint_news;
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -53,8 +53,8 @@
         : io_(io), address_(parse_address(settings.caller_address)),
           dialect_(dialect), on_report_(std::move(on_report)),
           router_(router_options_of(settings, seed)),
-          context_{io_, router_,  channels_, limits_,  metrics_,
-                   log, dialect_, leaving_,  crowded_, news_},
+          context_{io_,      router_,  channels_, limits_,  metrics_, log,
+                   dialect_, leaving_, closing_,  crowded_, news_},
           timer_(io_),
           crowded_at_(part_of(settings.max_descriptors, crowded_part)),
           full_at_(part_of(settings.max_descriptors, full_part)),
@@ -86,6 +86,7 @@
 
     void close(std::function<void()> on_idle)
     {
+        closing_ = true;
         listener_->close();
         on_idle_ = std::move(on_idle);
         end_idle_sessions();
@@ -262,6 +263,7 @@
     watchdog limits_;
     direct_metrics metrics_;
     bool leaving_ = false;
+    bool closing_ = false;
     bool crowded_ = false;
     news_age news_;
     traffic_context context_;
--- a/test/integration/drain_test.cpp
+++ b/test/integration/drain_test.cpp
@@ -168,10 +168,11 @@
 /// Asks over one connection, with a pause between.
 asio::awaitable<void> ask_twice(beast::tcp_stream& over,
                                 std::array<direct_call, 2> calls,
-                                direct_answer& first, direct_answer& second)
+                                milliseconds pause, direct_answer& first,
+                                direct_answer& second)
 {
     co_await ask_over(over, calls[0], first);
-    co_await sleep_for(milliseconds(100));
+    co_await sleep_for(pause);
     co_await ask_over(over, calls[1], second);
 }
 
@@ -232,8 +233,10 @@
     direct_answer after;
     const direct_call stream = running.make_call(0);
     const direct_call next = running.make_call(0, "/look/x");
-    asio::co_spawn(context, ask_twice(caller, {stream, next}, before, after),
-                   asio::detached);
+    asio::co_spawn(
+        context,
+        ask_twice(caller, {stream, next}, milliseconds(100), before, after),
+        asio::detached);
     std::thread ends(
         [&]
         {
@@ -276,3 +279,36 @@
     cr_expect(got[1].result_int() == 200 || got[1].result_int() == 503);
     wait_for_end(running.at(0));
 }
+
+// Guards against LOST: a request that came right after an answer, long after
+// the instance was told to end, was taken and cut at the end of the drain.
+Test(drain, a_connection_takes_nothing_new_at_the_end_of_a_drain)
+{
+    direct_plan plan;
+    plan.instances = 1;
+    plan.events = 30;
+    plan.gap = milliseconds(50);
+    direct_fleet running(plan);
+    asio::io_context context{1};
+    beast::tcp_stream caller(context);
+    caller.connect(endpoint_of(running.at(0).caller_address()));
+    direct_answer before;
+    direct_answer after;
+    const direct_call stream = running.make_call(0);
+    const direct_call next = running.make_call(0, "/look/x");
+    asio::co_spawn(
+        context,
+        ask_twice(caller, {stream, next}, milliseconds(0), before, after),
+        asio::detached);
+    std::thread ends(
+        [&]
+        {
+            std::this_thread::sleep_for(milliseconds(250));
+            kill(running.at(0).pid, SIGTERM);
+        });
+    context.run();
+    ends.join();
+    cr_assert(before.whole);
+    cr_expect_eq(running.runs_of(next.id), 0);
+    wait_for_end(running.at(0));
+}
