--- a/test/integration/drain_test.cpp
+++ b/test/integration/drain_test.cpp
@@ -176,6 +176,40 @@
     co_await ask_over(over, calls[1], second);
 }
 
+/// A stream during which its instance is told to end, and the request that
+/// follows it on its connection.
+struct answers_at_an_end
+{
+    direct_answer before;
+    direct_answer after;
+    /// Times that the second request was run.
+    int runs = 0;
+};
+
+answers_at_an_end ask_across_end(direct_fleet& running, milliseconds pause)
+{
+    asio::io_context context{1};
+    beast::tcp_stream caller(context);
+    caller.connect(endpoint_of(running.at(0).caller_address()));
+    answers_at_an_end got;
+    const direct_call stream = running.make_call(0);
+    const direct_call next = running.make_call(0, "/look/x");
+    asio::co_spawn(
+        context,
+        ask_twice(caller, {stream, next}, pause, got.before, got.after),
+        asio::detached);
+    std::thread ends(
+        [&]
+        {
+            std::this_thread::sleep_for(milliseconds(250));
+            kill(running.at(0).pid, SIGTERM);
+        });
+    context.run();
+    ends.join();
+    got.runs = running.runs_of(next.id);
+    return got;
+}
+
 void wait_for_end(direct_instance& which)
 {
     cr_assert(wait_for_exit(which.pid, std::chrono::seconds(20), nullptr));
@@ -226,29 +260,11 @@
     plan.events = 20;
     plan.gap = milliseconds(25);
     direct_fleet running(plan);
-    asio::io_context context{1};
-    beast::tcp_stream caller(context);
-    caller.connect(endpoint_of(running.at(0).caller_address()));
-    direct_answer before;
-    direct_answer after;
-    const direct_call stream = running.make_call(0);
-    const direct_call next = running.make_call(0, "/look/x");
-    asio::co_spawn(
-        context,
-        ask_twice(caller, {stream, next}, milliseconds(100), before, after),
-        asio::detached);
-    std::thread ends(
-        [&]
-        {
-            std::this_thread::sleep_for(milliseconds(250));
-            kill(running.at(0).pid, SIGTERM);
-        });
-    context.run();
-    ends.join();
-    cr_assert(before.whole);
-    cr_assert_not(before.closes);
-    cr_expect_eq(after.status, 200U, "%u", after.status);
-    cr_expect(after.closes);
+    const answers_at_an_end got = ask_across_end(running, milliseconds(100));
+    cr_assert(got.before.whole);
+    cr_assert_not(got.before.closes);
+    cr_expect_eq(got.after.status, 200U, "%u", got.after.status);
+    cr_expect(got.after.closes);
 }
 
 // Guards against requests that were sent early, were read and are dropped with
@@ -289,26 +305,8 @@
     plan.events = 30;
     plan.gap = milliseconds(50);
     direct_fleet running(plan);
-    asio::io_context context{1};
-    beast::tcp_stream caller(context);
-    caller.connect(endpoint_of(running.at(0).caller_address()));
-    direct_answer before;
-    direct_answer after;
-    const direct_call stream = running.make_call(0);
-    const direct_call next = running.make_call(0, "/look/x");
-    asio::co_spawn(
-        context,
-        ask_twice(caller, {stream, next}, milliseconds(0), before, after),
-        asio::detached);
-    std::thread ends(
-        [&]
-        {
-            std::this_thread::sleep_for(milliseconds(250));
-            kill(running.at(0).pid, SIGTERM);
-        });
-    context.run();
-    ends.join();
-    cr_assert(before.whole);
-    cr_expect_eq(running.runs_of(next.id), 0);
+    const answers_at_an_end got = ask_across_end(running, milliseconds(0));
+    cr_assert(got.before.whole);
+    cr_expect_eq(got.runs, 0);
     wait_for_end(running.at(0));
 }
