Each event sets the limit on silence once; one way to write that a field has none

Reading a piece renews the limit, so that setting it again for each event did the same work twice on the traffic thread; only the first event changes it.

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -2,7 +2,6 @@
 #include "attempt.hpp"
 
 #include "../header_copy.hpp"
-#include "../socket_state.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
 
@@ -464,7 +463,8 @@
         if (!whole.empty())
         {
             note_event();
-            if (request_.secure_next)
+            // From the second event on, reading it has set the limit.
+            if (request_.secure_next && awaited_ != pause)
                 expect_within(pause);
         }
         if (co_await pass_on(whole, done))
--- a/packages/adapters/lib/direct/request_log.cpp
+++ b/packages/adapters/lib/direct/request_log.cpp
@@ -97,13 +97,12 @@
 {
     const std::string source(to_string(found.source));
     ++context_.metrics.resumed[source];
-    const std::string& begun_by = request.meta.resumes;
     context_.log.write(
         direct_event::stream_resumed,
         {{"request", request.meta.attempt_id},
          {"route", request.profile.way->name},
          {"account", request.account_name},
-         {"resumes", begun_by.empty() ? "none" : begun_by},
+         {"resumes", text_or_none(request.meta.resumes)},
          {"last_event", request.meta.last_event
                             ? std::to_string(*request.meta.last_event)
                             : "none"},
