--- a/packages/adapters/lib/direct/stream_binding.cpp
+++ b/packages/adapters/lib/direct/stream_binding.cpp
@@ -80,7 +80,7 @@
                            const core::direct::placement_decision& at)
 {
     if (!request.profile.release && request.events.count() > 0)
-        request.profile.release = at.endpoint.release();
+        request.profile.release = at.release;
 }
 
 void stream_binding::complete(const open_request& request)
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -82,6 +82,8 @@
 struct placement_decision
 {
     endpoint_record endpoint;
+    /// That of the endpoint, which takes a digest to make.
+    release_id release;
     double predicted_ms = 0;
     /// Tokens that need not be read, with those that are fetched.
     double cached_tokens = 0;
--- a/packages/core/include/sycamorelock/core/direct/stream_releases.hpp
+++ b/packages/core/include/sycamorelock/core/direct/stream_releases.hpp
@@ -218,6 +218,13 @@
     {
         return kept_for_ + listing_skew;
     }
+    /// Whether streams that go on now may have begun at a release that was
+    /// listed last at `last`.
+    [[nodiscard]] bool may_have_begun(time_point now, const history& of,
+                                      release_id release, time_point last) const
+    {
+        return of.listed.contains(release) || now - last <= history_for();
+    }
     /// Whether no release that may have begun a stream can be missing here.
     [[nodiscard]] bool is_complete(time_point now) const
     {
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -421,6 +421,7 @@
 {
     placement_decision made;
     made.endpoint = best.state->record;
+    made.release = best.state->release;
     made.wait_ms = best.wait_ms;
     made.cached_tokens = best.cached;
     made.slowness = best.slowness;
--- a/packages/core/lib/direct/router_streams.cpp
+++ b/packages/core/lib/direct/router_streams.cpp
@@ -75,8 +75,8 @@
 void router::note_stream(time_point now, stream_key key,
                          const placement_decision& at, unsigned attempt)
 {
-    const bool moves = streams_.note(
-        now, {key, at.endpoint.service, at.endpoint.release(), attempt});
+    const bool moves =
+        streams_.note(now, {key, at.endpoint.service, at.release, attempt});
     // Reports of a large fleet come often, and each is passed on by others.
     const bool is_awaited =
         !large_fleet_ && streams_.must_tell(now, at.endpoint.service);
@@ -86,7 +86,7 @@
 void router::note_resumed(time_point now, stream_key key,
                           const placement_decision& at)
 {
-    streams_.note_resumed(now, key, at.endpoint.service, at.endpoint.release());
+    streams_.note_resumed(now, key, at.endpoint.service, at.release);
 }
 
 refusal_decision router::refuse_unknown_release()
--- a/packages/core/lib/direct/stream_releases.cpp
+++ b/packages/core/lib/direct/stream_releases.cpp
@@ -223,8 +223,7 @@
         return std::nullopt;
     for (const auto& [release, last] : found->second.seen)
     {
-        if (found->second.listed.contains(release) ||
-            now - last <= history_for())
+        if (may_have_begun(now, found->second, release, last))
             return release;
     }
     return std::nullopt;
@@ -239,13 +238,10 @@
     const history& of = found->second;
     if (of.moved && now - *of.moved <= history_for())
         return true;
-    const auto count =
-        std::count_if(of.seen.begin(), of.seen.end(),
-                      [&](const auto& each)
-                      {
-                          return of.listed.contains(each.first) ||
-                                 now - each.second <= history_for();
-                      });
+    const auto count = std::count_if(
+        of.seen.begin(), of.seen.end(),
+        [&](const auto& each)
+        { return may_have_begun(now, of, each.first, each.second); });
     return count > 1;
 }
 
