A silent endpoint is left only when another one has taken its request

What callers saw (LOST): a stream was cut in the middle although its endpoint had only paused, when the endpoint that had been secured for it declined or broke off at once. Cause: at the limit on silence the connection was closed as soon as another endpoint was chosen, though a choice is no promise: only the other endpoint's answer tells that it takes the request. Now the attempt waits with its connection open until the next one answers without declining, or 250 ms after it was sent (two may not run one request for long), and goes on if nobody takes the request. New event 3009 and a counter for what went on.

--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
@@ -29,6 +29,8 @@
     std::uint64_t caller_connections = 0;
     std::uint64_t endpoint_connects = 0;
     std::uint64_t rests_asked = 0;
+    /// Attempts at silent endpoints that went on, as no other took the request.
+    std::uint64_t kept = 0;
     std::uint64_t reports_sent = 0;
     std::uint64_t reports_received = 0;
     std::map<std::string, std::uint64_t> refused;
--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -67,6 +67,7 @@
     request_rejected = 3006,
     endpoint_silent = 3007,
     stream_resumed = 3008,
+    silent_endpoint_kept = 3009,
     endpoint_seen = 3101,
     endpoint_draining = 3102,
     endpoint_gone = 3103,
--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -15,6 +15,7 @@
 namespace
 {
 
+constexpr unsigned first_server_error = 500;
 constexpr std::uint32_t max_answer_header = 64 * 1024;
 /// Bytes of an answer without events that are held until it is complete, so
 /// that a broken one can be asked for again. Longer ones are passed on as they
@@ -118,8 +119,8 @@
     {
     case attempt_end::complete:
     case attempt_end::held:
-        return status_ >= 500 ? attempt_outcome::failed
-                              : attempt_outcome::succeeded;
+        return status_ >= first_server_error ? attempt_outcome::failed
+                                             : attempt_outcome::succeeded;
     case attempt_end::unreachable:
         return attempt_outcome::unreachable;
     case attempt_end::not_run:
@@ -149,12 +150,33 @@
         send();
         end = co_await read_answer();
     }
+    co_return end_or_wait(end);
+}
+
+asio::awaitable<attempt_end> attempt::resume()
+{
+    note_read();
+    expect_within(awaited_);
+    const attempt_end end = co_await read_answer();
+    co_return end_or_wait(end);
+}
+
+attempt_end attempt::end_or_wait(attempt_end end)
+{
     silence_.lift();
     if (abandoned_)
         end = attempt_end::abandoned;
+    else if (waits_)
+        return end;
     release();
     context_.router.finished(now(), placed_, outcome_of(end));
-    co_return end;
+    return end;
+}
+
+void attempt::give_up()
+{
+    waits_ = false;
+    end_or_wait(unfinished_end());
 }
 
 attempt_end attempt::stopped(std::string_view why)
@@ -223,10 +245,12 @@
     // another one.
     const bool is_silent = connection == socket_state::quiet && !passing_on_ &&
                            channel_->buffer.size() == buffered_;
-    if (is_silent && request_.secure_next(unfinished_end()))
+    if (!is_silent || !request_.secure_next(unfinished_end()))
+        expect_within(limit);
+    else if (skipping_)
         give_up_silent();
     else
-        expect_within(limit);
+        wait_for_another();
 }
 
 void attempt::give_up_silent()
@@ -236,6 +260,20 @@
     channel_->socket.close(ignored);
 }
 
+void attempt::wait_for_another()
+{
+    silent_ = true;
+    waits_ = true;
+    error_code ignored;
+    channel_->socket.cancel(ignored);
+}
+
+void attempt::note_read()
+{
+    silent_ = false;
+    waits_ = false;
+}
+
 void attempt::note_silence(milliseconds limit, socket_state connection)
 {
     const std::string state(to_string(connection));
@@ -311,25 +349,35 @@
                       [message = sending_, done = sent_](
                           error_code error, std::size_t) { *done = !error; });
     context_.router.written(now(), placed_);
+    request_.sent();
+    if (request_.secure_next)
+        expect_within(scaled(request_.profile.way->objective, silence_factor));
 }
 
 asio::awaitable<std::optional<answer_meta>> attempt::read_header()
 {
     for (;;)
     {
-        parser_ = std::make_unique<answer_parser>();
-        parser_->header_limit(max_answer_header);
-        parser_->body_limit(boost::none);
-        if (request_.message.method() == http::verb::head)
-            parser_->skip(true);
+        if (!parser_)
+        {
+            parser_ = std::make_unique<answer_parser>();
+            parser_->header_limit(max_answer_header);
+            parser_->body_limit(boost::none);
+            if (request_.message.method() == http::verb::head)
+                parser_->skip(true);
+        }
         auto [error, bytes] = co_await http::async_read_header(
             channel_->socket, channel_->buffer, *parser_, as_result);
         if (error)
             co_return std::nullopt;
+        note_read();
         const auto& header = parser_->get();
         if (http::to_status_class(header.result()) ==
             http::status_class::informational)
+        {
+            parser_.reset();
             continue;
+        }
         const answer_meta meta =
             context_.dialect.read_answer(header, header.result_int());
         note_endpoint(meta);
@@ -344,6 +392,7 @@
                             {"endpoint", placed_.endpoint.boot}});
         if (!co_await skip_answer())
             co_return std::nullopt;
+        parser_.reset();
     }
 }
 
@@ -352,6 +401,7 @@
     std::size_t skipped = 0;
     if (parser_->need_eof())
         co_return false;
+    skipping_ = true;
     while (!parser_->is_done())
     {
         if (co_await read_piece())
@@ -360,6 +410,7 @@
         if (skipped > max_skipped)
             co_return false;
     }
+    skipping_ = false;
     co_return true;
 }
 
@@ -371,6 +422,8 @@
     auto [error, bytes] = co_await http::async_read_some(
         channel_->socket, channel_->buffer, *parser_, as_result);
     piece_size_ = piece_.size() - body.size;
+    if (!error || piece_size_ > 0)
+        note_read();
     if (piece_size_ > 0 && awaited_.count() > 0)
         expect_within(awaited_);
     if (error == http::error::need_buffer)
@@ -380,10 +433,18 @@
 
 asio::awaitable<attempt_end> attempt::read_answer()
 {
-    const core::direct::route& way = *request_.profile.way;
-    const milliseconds silence = scaled(way.objective, silence_factor);
-    if (request_.secure_next)
-        expect_within(silence);
+    std::optional<attempt_end> end;
+    if (!answers_)
+        end = co_await begin_answer();
+    if (end)
+        co_return *end;
+    if (has_events_)
+        co_return co_await relay_events();
+    co_return co_await collect();
+}
+
+asio::awaitable<std::optional<attempt_end>> attempt::begin_answer()
+{
     const std::optional<answer_meta> meta = co_await read_header();
     if (!meta)
         co_return stopped("no_answer");
@@ -399,15 +460,32 @@
         why_ = "declined";
         co_return attempt_end::not_run;
     }
-    const bool events =
+    answers_ = true;
+    has_events_ =
         http::to_status_class(header.result()) ==
             http::status_class::successful &&
         header[http::field::content_type].starts_with("text/event-stream");
-    if (events)
-        co_return co_await relay_events();
-    if (out_.begun())
+    if (!has_events_ && out_.begun())
         co_return stopped("answer_without_events");
-    co_return co_await collect();
+    if (status_ < first_server_error)
+        request_.taken();
+    if (!has_events_)
+    {
+        copy_end_to_end(header, held_.header);
+        held_.status = header.result();
+        held_.has_body = request_.message.method() != http::verb::head &&
+                         header.result() != http::status::no_content &&
+                         header.result() != http::status::not_modified;
+        co_return std::nullopt;
+    }
+    if (!out_.begun())
+    {
+        http::fields copied;
+        copy_end_to_end(header, copied);
+        out_.begin(copied, header.result());
+    }
+    events_.drop_rest();
+    co_return std::nullopt;
 }
 
 void attempt::note_first()
@@ -439,13 +517,6 @@
 {
     const core::direct::route& way = *request_.profile.way;
     const milliseconds pause = scaled(way.pause_objective, pause_factor);
-    if (!out_.begun())
-    {
-        http::fields header;
-        copy_end_to_end(parser_->get(), header);
-        out_.begin(header, parser_->get().result());
-    }
-    events_.drop_rest();
     for (;;)
     {
         const error_code error =
@@ -479,15 +550,10 @@
 
 asio::awaitable<attempt_end> attempt::collect()
 {
-    const auto& from = parser_->get();
-    copy_end_to_end(from, held_.header);
-    held_.status = from.result();
-    held_.has_body = request_.message.method() != http::verb::head &&
-                     from.result() != http::status::no_content &&
-                     from.result() != http::status::not_modified;
     while (!parser_->is_done())
     {
-        if (co_await read_piece())
+        const error_code error = co_await read_piece();
+        if (error)
             co_return stopped("answer_cut");
         held_.body.append(piece_.data(), piece_size_);
         if (held_.body.size() > max_held)
@@ -499,6 +565,9 @@
 
 asio::awaitable<attempt_end> attempt::pass_on_rest()
 {
+    // No other endpoint can go on with it.
+    awaited_ = milliseconds(0);
+    silence_.lift();
     out_.begin(held_.header, held_.status);
     std::string bytes = std::move(held_.body);
     for (;;)
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -60,6 +60,10 @@
     /// take it after an attempt that ends so. Absent if the request may not be
     /// repeated.
     std::function<bool(attempt_end)> secure_next;
+    /// The request has been written to the endpoint.
+    std::function<void()> sent;
+    /// The endpoint has begun to answer, and has not declined or failed.
+    std::function<void()> taken;
 };
 
 class attempt
@@ -69,9 +73,20 @@
             core::direct::placement_decision& placed, answer_writer& out,
             event_splitter& events);
 
-    /// Runs to the end. Reports to the router what it learns.
+    /// Runs to the end, or until it waits. Reports to the router what it
+    /// learns.
     asio::awaitable<attempt_end> run();
 
+    /// Whether it waits: its endpoint is silent, another one has been secured,
+    /// and the connection is left open until that one takes the request.
+    [[nodiscard]] bool waits() const { return waits_; }
+    /// Whether it has been left because nothing was read of its endpoint.
+    [[nodiscard]] bool is_silent() const { return silent_; }
+    /// Goes on with an attempt that waits, as `run` does.
+    asio::awaitable<attempt_end> resume();
+    /// Ends an attempt that waits.
+    void give_up();
+
     /// Closes the connection to the endpoint, which then drops the request.
     void abandon();
 
@@ -94,6 +109,7 @@
     using request_out = http::request<http::span_body<const char>>;
 
     asio::awaitable<bool> connect();
+    attempt_end end_or_wait(attempt_end end);
     /// Whether the endpoint may still be sent the request.
     bool may_send();
     void send();
@@ -105,6 +121,9 @@
     asio::awaitable<bool> skip_answer();
     asio::awaitable<error_code> read_piece();
     asio::awaitable<attempt_end> read_answer();
+    /// Reads as far as the answer's body; returns how the attempt ends if there
+    /// is none to pass on.
+    asio::awaitable<std::optional<attempt_end>> begin_answer();
     asio::awaitable<attempt_end> relay_events();
     asio::awaitable<attempt_end> collect();
     asio::awaitable<attempt_end> pass_on_rest();
@@ -116,8 +135,12 @@
     /// Looks for another endpoint if nothing is read of this one by then.
     void expect_within(milliseconds time);
     void on_silence(milliseconds limit);
-    /// Closes the connection, which ends the wait for the endpoint.
+    /// Ends the wait for the endpoint by closing the connection.
     void give_up_silent();
+    /// Ends the wait for the endpoint and leaves the connection open.
+    void wait_for_another();
+    /// Something was read of the endpoint.
+    void note_read();
     /// Tells that nothing was read of the endpoint within a limit.
     void note_silence(milliseconds limit, socket_state connection);
     /// Passes a piece on to the caller.
@@ -154,6 +177,12 @@
     core::duration longest_pause_{0};
     bool abandoned_ = false;
     bool silent_ = false;
+    bool waits_ = false;
+    /// An answer to an earlier request is being read.
+    bool skipping_ = false;
+    /// The header of the answer has been read, and events follow it.
+    bool answers_ = false;
+    bool has_events_ = false;
     bool passing_on_ = false;
 };
 
--- a/packages/adapters/lib/direct/open_request.hpp
+++ b/packages/adapters/lib/direct/open_request.hpp
@@ -11,6 +11,14 @@
 namespace sycamorelock::adapters::direct
 {
 
+/// An attempt with the placement that it refers to.
+struct placed_attempt
+{
+    core::direct::placement_decision placed;
+    std::optional<attempt> tried;
+    attempt_end end = attempt_end::unreachable;
+};
+
 struct open_request
 {
     caller_message message;
--- a/packages/adapters/lib/direct/request_log.cpp
+++ b/packages/adapters/lib/direct/request_log.cpp
@@ -151,6 +151,18 @@
          {"after_ms", ms_text(now() - request.profile.arrived)}});
 }
 
+void request_log::kept(const open_request& request, std::string_view boot)
+{
+    ++context_.metrics.kept;
+    context_.log.write(
+        direct_event::silent_endpoint_kept,
+        {{"request", request.meta.attempt_id},
+         {"endpoint", std::string(boot)},
+         {"events", std::to_string(request.events.count())},
+         {"why", text_or_none(request.not_repeated)},
+         {"after_ms", ms_text(now() - request.profile.arrived)}});
+}
+
 void request_log::ended(const open_request& request, std::string_view outcome,
                         unsigned status)
 {
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -22,6 +22,9 @@
 constexpr milliseconds soon{500};
 /// No caller is asked to come back sooner: it would find the same queue.
 constexpr milliseconds least_pause{50};
+/// How long two endpoints may have a request: the next one declines at once or
+/// runs it, and then the silent one has to be left.
+constexpr milliseconds overlap_time{250};
 /// Time that a caller has to take in why its request could not be read.
 constexpr milliseconds linger_time{1000};
 
@@ -262,6 +265,7 @@
     while (placed)
         placed = co_await try_at(request, *placed);
     limit_.lift();
+    give_up_waiting();
     --context_.metrics.open;
     ++number_;
     if (watching_)
@@ -346,51 +350,118 @@
 request_session::try_at(open_request& request,
                         core::direct::placement_decision placed)
 {
-    const core::direct::route& way = *request.profile.way;
     ++request.attempts;
     request.tried.insert(placed.hold.endpoint);
     log_.placed(request, placed);
     streams_.sending(request, placed);
-    request.next.reset();
+    auto open = make_attempt(request, std::move(placed));
+    bool done = co_await follow(request, *open);
+    auto next = done ? std::nullopt : next_of(request, *open);
+    if (!done && !next && waiting_ && stop_ == stop::none)
+    {
+        open = std::move(waiting_);
+        waiting_limit_.lift();
+        log_.kept(request, open->placed.endpoint.boot);
+        done = co_await follow(request, *open);
+        next = done ? std::nullopt : next_of(request, *open);
+    }
+    if (next && open->tried->waits())
+    {
+        give_up_waiting();
+        waiting_ = std::move(open);
+    }
+    else if (!done && !next)
+        co_await give_up(request, *open);
+    co_return next;
+}
+
+std::unique_ptr<placed_attempt>
+request_session::make_attempt(open_request& request,
+                              core::direct::placement_decision placed)
+{
+    const core::direct::route& way = *request.profile.way;
+    auto open = std::make_unique<placed_attempt>();
+    open->placed = std::move(placed);
     std::function<bool(attempt_end)> secure_next;
     if (request.attempts < way.max_attempts && way.repeatable())
-        secure_next = [this, &request, &placed](attempt_end after)
+        secure_next = [this, &request, &at = open->placed](attempt_end after)
         {
             // What was passed on binds where the stream may go on.
-            streams_.tried(request, placed);
+            streams_.tried(request, at);
             request.next = place_again(request, after);
             return request.next.has_value();
         };
-    attempt tried(context_,
-                  {request.message, request.meta, request.profile,
-                   request.account_name, std::move(secure_next)},
-                  placed, out_, request.events);
+    const auto sent = [this]
+    {
+        if (waiting_)
+            context_.limits.set(waiting_limit_, now() + overlap_time,
+                                [this] { give_up_waiting(); });
+    };
+    open->tried.emplace(context_,
+                        attempt_request{request.message, request.meta,
+                                        request.profile, request.account_name,
+                                        std::move(secure_next), sent,
+                                        [this] { give_up_waiting(); }},
+                        open->placed, out_, request.events);
+    return open;
+}
+
+asio::awaitable<bool> request_session::follow(open_request& request,
+                                              placed_attempt& which)
+{
+    request.next.reset();
+    attempt& tried = *which.tried;
     attempt_ = &tried;
-    const attempt_end end = co_await tried.run();
+    if (tried.waits())
+        which.end = co_await tried.resume();
+    else
+        which.end = co_await tried.run();
     attempt_ = nullptr;
-    streams_.tried(request, placed);
+    streams_.tried(request, which.placed);
     if (request.first == core::time_point())
         request.first = tried.first_at();
     request.longest_pause =
         std::max(request.longest_pause, tried.longest_pause());
-    if (co_await finish(request, tried, end))
-        co_return std::nullopt;
-    request.may_have_run = request.may_have_run || may_have_run(end);
+    if (co_await finish(request, tried, which.end))
+        co_return true;
+    request.may_have_run = request.may_have_run || may_have_run(which.end);
     request.stopped_by = tried.why();
-    if (!was_sent(end))
+    if (!was_sent(which.end))
         --request.attempts;
-    auto next = std::move(request.next);
-    if (!next && stop_ == stop::none)
-        next = place_again(request, end);
+    co_return false;
+}
+
+std::optional<core::direct::placement_decision>
+request_session::next_of(open_request& request, const placed_attempt& which)
+{
     if (stop_ != stop::none)
-        next.reset();
+        return std::nullopt;
+    auto next = std::move(request.next);
+    if (!which.tried->is_silent() || !next)
+        next = place_again(request, which.end);
     if (next)
-        log_.repeated(request, placed.endpoint.boot, end, tried.why());
-    else if (end == attempt_end::held)
-        co_await deliver(request, std::move(tried.held()), "server_error");
+        log_.repeated(request, which.placed.endpoint.boot, which.end,
+                      which.tried->why());
+    return next;
+}
+
+asio::awaitable<void> request_session::give_up(open_request& request,
+                                               placed_attempt& last)
+{
+    if (last.end == attempt_end::held)
+        co_await deliver(request, std::move(last.tried->held()),
+                         "server_error");
     else
-        co_await answer_failure(request, end);
-    co_return next;
+        co_await answer_failure(request, last.end);
+}
+
+void request_session::give_up_waiting()
+{
+    waiting_limit_.lift();
+    if (!waiting_)
+        return;
+    waiting_->tried->give_up();
+    waiting_.reset();
 }
 
 asio::awaitable<bool> request_session::finish(open_request& request,
@@ -530,6 +601,9 @@
 void request_session::stop_request(stop why)
 {
     stop_ = why;
+    if (waiting_)
+        waiting_->tried->abandon();
+    give_up_waiting();
     if (attempt_ == nullptr)
         return;
     attempt_->abandon();
--- a/packages/adapters/lib/direct/request_session.hpp
+++ b/packages/adapters/lib/direct/request_session.hpp
@@ -59,6 +59,18 @@
     /// request has had its final answer.
     asio::awaitable<std::optional<core::direct::placement_decision>>
     try_at(open_request& request, core::direct::placement_decision placed);
+    [[nodiscard]] std::unique_ptr<placed_attempt>
+    make_attempt(open_request& request,
+                 core::direct::placement_decision placed);
+    /// Follows an attempt, from its begin or after it has waited, until it ends
+    /// or waits. Returns whether the request has had its final answer.
+    asio::awaitable<bool> follow(open_request& request, placed_attempt& which);
+    /// Where a request goes whose attempt has ended without a final answer.
+    [[nodiscard]] std::optional<core::direct::placement_decision>
+    next_of(open_request& request, const placed_attempt& which);
+    /// Answers a request that no endpoint can go on with.
+    asio::awaitable<void> give_up(open_request& request, placed_attempt& last);
+    void give_up_waiting();
     /// Ends the request if no other attempt could do better; returns whether.
     asio::awaitable<bool> finish(open_request& request, attempt& tried,
                                  attempt_end end);
@@ -87,6 +99,9 @@
     stream_binding streams_;
     watchdog::limit limit_;
     attempt* attempt_ = nullptr;
+    /// An attempt that waits until another endpoint takes its request.
+    std::unique_ptr<placed_attempt> waiting_;
+    watchdog::limit waiting_limit_;
     std::uint64_t number_ = 0;
     stop stop_ = stop::none;
     bool watching_ = false;
--- a/packages/adapters/lib/direct/traffic_metrics.cpp
+++ b/packages/adapters/lib/direct/traffic_metrics.cpp
@@ -41,6 +41,9 @@
            "Connections opened to endpoints.", endpoint_connects);
     single(out, "endpoint_rests_total", "counter",
            "Answers of endpoints that asked for rest.", rests_asked);
+    single(out, "silent_endpoints_kept_total", "counter",
+           "Requests that went on at a silent endpoint, as no other took them.",
+           kept);
     single(out, "reports_sent_total", "counter",
            "Reports made for other instances.", reports_sent);
     single(out, "reports_received_total", "counter",
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -128,6 +128,9 @@
                "tells whether something waits to be read."},
     event_kind{3008, info, "stream_resumed",
                "A request goes on with a stream that another attempt began."},
+    event_kind{3009, info, "silent_endpoint_kept",
+               "No other endpoint took a request, so that it goes on at the "
+               "one that was silent; `why` tells why no other was left."},
     event_kind{3101, info, "endpoint_seen",
                "An endpoint registered or changed its entry."},
     event_kind{3102, info, "endpoint_drains",
--- a/test/integration/silence_test.cpp
+++ b/test/integration/silence_test.cpp
@@ -170,6 +170,59 @@
     check_stream(got, asked, 10);
 }
 
+// Guards against the same where the other endpoint breaks off before it
+// answers.
+Test(silence, a_stream_stays_with_its_endpoint_when_another_breaks_at_once)
+{
+    direct_plan plan = one_endpoint_each();
+    plan.engines = 2;
+    direct_fleet fleet(plan);
+    for (std::size_t i = 0; i < 2; ++i)
+        fleet.engine(i).set_pause(4, long_pause);
+    const direct_call asked = fleet.make_call(0);
+    direct_answer got;
+    std::thread caller([&] { got = ask(asked); });
+    const bool begun = eventually([&] { return fleet.runs_of(asked.id) == 1; },
+                                  std::chrono::seconds(2));
+    const std::size_t other = fleet.engine(0).runs_of(asked.id) == 0 ? 0 : 1;
+    fleet.engine(other).set_fault(answer_fault::lost);
+    caller.join();
+    cr_assert(begun);
+    check_stream(got, asked, 10);
+    cr_expect(
+        fleet.says(fleet.at(0), "sycamorelock_silent_endpoints_kept_total 1"));
+}
+
+// Guards against work that is done twice: an endpoint that was silent works on
+// after another one has taken its request.
+Test(silence, an_endpoint_is_left_once_another_has_taken_its_request)
+{
+    direct_plan plan = one_endpoint_each();
+    plan.engines = 2;
+    plan.gap = milliseconds(150);
+    direct_fleet fleet(plan);
+    for (std::size_t i = 0; i < 2; ++i)
+        fleet.engine(i).set_fault(answer_fault::silent);
+    const direct_call asked = fleet.make_call(0);
+    direct_answer got;
+    std::thread caller([&] { got = ask(asked); });
+    const bool begun = eventually([&] { return fleet.runs_of(asked.id) == 1; },
+                                  std::chrono::seconds(2));
+    const std::size_t other = fleet.engine(0).runs_of(asked.id) == 0 ? 0 : 1;
+    fleet.engine(other).set_fault(answer_fault::none);
+    const bool taken =
+        eventually([&] { return fleet.engine(other).runs_of(asked.id) == 1; },
+                   std::chrono::seconds(3));
+    const bool left =
+        eventually([&] { return fleet.engine(1 - other).working() == 0; },
+                   milliseconds(400));
+    caller.join();
+    cr_assert(begun);
+    cr_assert(taken);
+    cr_expect(left);
+    check_stream(got, asked, 10);
+}
+
 // Guards against answers that are thrown away while they arrive: the limit for
 // the first answer held for the whole of it.
 Test(silence, an_answer_that_arrives_in_pieces_is_no_silence)
