An instance without descriptors sets no endpoint aside

What callers saw (LOST class): 503 at an instance that had descriptors again, as its endpoint had been set aside when a connection to it could not be opened here. Cause: each connection that was not opened counted as unreachable, whoever lacked what. Class: the lack of something here is taken for the fault of the endpoint. Now an error that tells of no descriptor, port or memory on this side ends the attempt as not sent and says nothing of the endpoint; request_ended has why=local_shortage.

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -2,6 +2,7 @@
 #include "attempt.hpp"
 
 #include "../header_copy.hpp"
+#include "../local_shortage.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
 
@@ -122,7 +123,8 @@
         return status_ >= first_server_error ? attempt_outcome::failed
                                              : attempt_outcome::succeeded;
     case attempt_end::unreachable:
-        return attempt_outcome::unreachable;
+        return has_shortage_ ? attempt_outcome::abandoned
+                             : attempt_outcome::unreachable;
     case attempt_end::not_run:
         return attempt_outcome::declined;
     case attempt_end::wrong_endpoint:
@@ -142,7 +144,7 @@
     context_.router.sent(now(), request_.profile, placed_);
     attempt_end end = attempt_end::unreachable;
     if (!co_await connect())
-        end = stopped("connect");
+        end = stopped(has_shortage_ ? "local_shortage" : "connect");
     else if (!may_send())
         end = attempt_end::withheld;
     else
@@ -202,6 +204,7 @@
     auto [error] = co_await channel_->socket.async_connect(
         parse_address(placed_.endpoint.address), as_result);
     silence_.lift();
+    has_shortage_ = is_local_shortage(error);
     if (error || abandoned_)
         co_return false;
     error_code ignored;
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -176,6 +176,8 @@
     core::time_point event_at_;
     core::duration longest_pause_{0};
     bool abandoned_ = false;
+    /// This process had nothing left for a connection.
+    bool has_shortage_ = false;
     bool silent_ = false;
     bool waits_ = false;
     /// An answer to an earlier request is being read.
