Tests of descriptors wait until a process holds what it keeps

Trace: the limit was set at 21 descriptors where 20 are kept, while the instance still had the connection that had asked whether it is ready; that one was free a moment later, so callers were accepted and answered before the signal. The shortage now settles: the limit goes down with what the process closes until nothing changes for 300 ms. All checks and bounds stay.

--- a/test/integration/descriptors_test.cpp
+++ b/test/integration/descriptors_test.cpp
@@ -34,8 +34,20 @@
     explicit shortage_of(pid_t process) : process_(process)
     {
         prlimit(process_, RLIMIT_NOFILE, nullptr, &old_);
-        const rlimit short_of{first_free(), old_.rlim_max};
-        prlimit(process_, RLIMIT_NOFILE, &short_of, nullptr);
+        // What the process still closes, as the connection that asked whether
+        // it is ready, would be free later.
+        static constexpr int settled = 30;
+        rlim_t lowest = old_.rlim_cur;
+        for (int same = 0; same < settled; ++same)
+        {
+            const rlim_t free = first_free();
+            if (free < lowest)
+                same = 0;
+            lowest = std::min(lowest, free);
+            const rlimit short_of{lowest, old_.rlim_max};
+            prlimit(process_, RLIMIT_NOFILE, &short_of, nullptr);
+            std::this_thread::sleep_for(milliseconds(10));
+        }
     }
     ~shortage_of() { prlimit(process_, RLIMIT_NOFILE, &old_, nullptr); }
     shortage_of(const shortage_of&) = delete;
