--- a/test/integration/drain_test.cpp
+++ b/test/integration/drain_test.cpp
@@ -310,3 +310,38 @@
     cr_expect_eq(got.runs, 0);
     wait_for_end(running.at(0));
 }
+
+// Guards against LOST: a request that was sent after the time of lingering, on
+// a connection that had been opened before, was taken and cut at the end of the
+// drain.
+Test(drain, a_request_that_cannot_end_before_its_instance_is_refused)
+{
+    direct_plan plan;
+    plan.instances = 1;
+    plan.events = 15;
+    plan.gap = milliseconds(200);
+    direct_fleet running(plan);
+    direct_instance& only = running.at(0);
+    std::string settings = running.settings_of(only);
+    settings.replace(settings.find("shutdown_ms: 5000"), 17,
+                     "shutdown_ms: 2500");
+    running.write_settings(only, settings);
+    kill(only.pid, SIGHUP);
+    asio::io_context context(1);
+    std::vector<beast::tcp_stream> streams;
+    std::this_thread::sleep_for(milliseconds(300));
+    // Lingers for 0.5 s.
+    kill(only.pid, SIGTERM);
+    std::this_thread::sleep_for(milliseconds(350));
+    connect(context, streams, 1, running);
+    std::this_thread::sleep_for(milliseconds(350));
+    const direct_call asked = running.make_call(0);
+    direct_answer got;
+    asio::co_spawn(context, ask_over(streams.front(), asked, got),
+                   asio::detached);
+    context.run();
+    cr_expect_eq(got.status, 503U, "%u, %s", got.status,
+                 got.whole ? "whole" : "cut");
+    cr_expect_eq(running.runs_of(asked.id), 0);
+    wait_for_end(only);
+}
