An instance that ends refuses what it may have to cut

What callers saw (LOST): a stream that was sent after the time of lingering, over a connection opened before, was taken, run and cut in the middle when the process ended. Cause: a caller that has just connected has a second for its first request, and what waits at the listener or in a socket is still read then; all of it was taken, whatever time it had, though the process ends shutdown_ms after SIGTERM. With rolling restarts of many of 195 instances such requests are likely: each instance gets some nine a second.

--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
@@ -81,7 +81,9 @@
     void leave();
     /// Stops accepting and closes idle connections; calls back when nothing is
     /// open any more.
-    void close(std::function<void()> on_idle);
+    /// \param ends_at when the process ends at the latest. A request that may
+    /// last longer is refused from now on.
+    void close(core::time_point ends_at, std::function<void()> on_idle);
     /// Any thread.
     [[nodiscard]] const listener_metrics& callers() const;
     /// Makes the metrics page and calls back on the traffic thread.
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -13,6 +13,7 @@
 namespace
 {
 
+using core::direct::refusal;
 using core::direct::refusal_decision;
 
 constexpr unsigned first_server_error = 500;
@@ -227,6 +228,12 @@
     if (!co_await prepare(request))
         co_return;
     ++context_.metrics.accepted;
+    if (request.profile.deadline > context_.ends_at)
+    {
+        co_await answer_refusal(request,
+                                {refusal::instance_ends, least_pause, 0, 0});
+        co_return;
+    }
     if (!co_await streams_.bind(request))
     {
         const refusal_decision refused =
--- a/packages/adapters/lib/direct/traffic_context.hpp
+++ b/packages/adapters/lib/direct/traffic_context.hpp
@@ -48,6 +48,8 @@
     const bool& leaving;
     /// Nothing new is taken any more: what is taken now may be cut.
     const bool& closing;
+    /// When the process ends at the latest, once nothing new is taken.
+    const core::time_point& ends_at;
     /// So many callers are connected that answers end their connection.
     const bool& crowded;
     const news_age& endpoint_news;
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -54,7 +54,7 @@
           dialect_(dialect), on_report_(std::move(on_report)),
           router_(router_options_of(settings, seed)),
           context_{io_,      router_,  channels_, limits_,  metrics_, log,
-                   dialect_, leaving_, closing_,  crowded_, news_},
+                   dialect_, leaving_, closing_,  ends_at_, crowded_, news_},
           timer_(io_),
           crowded_at_(part_of(settings.max_descriptors, crowded_part)),
           full_at_(part_of(settings.max_descriptors, full_part)),
@@ -84,9 +84,10 @@
 
     void leave() { leaving_ = true; }
 
-    void close(std::function<void()> on_idle)
+    void close(core::time_point ends_at, std::function<void()> on_idle)
     {
         closing_ = true;
+        ends_at_ = ends_at;
         listener_->close();
         on_idle_ = std::move(on_idle);
         end_idle_sessions();
@@ -264,6 +265,7 @@
     direct_metrics metrics_;
     bool leaving_ = false;
     bool closing_ = false;
+    core::time_point ends_at_ = core::time_point::max();
     bool crowded_ = false;
     news_age news_;
     traffic_context context_;
@@ -427,10 +429,12 @@
     asio::post(impl_->io(), [impl = impl_] { impl->leave(); });
 }
 
-void traffic_plane::close(std::function<void()> on_idle)
+void traffic_plane::close(core::time_point ends_at,
+                          std::function<void()> on_idle)
 {
-    asio::post(impl_->io(), [impl = impl_, on_idle = std::move(on_idle)]
-               { impl->close(on_idle); });
+    asio::post(impl_->io(),
+               [impl = impl_, ends_at, on_idle = std::move(on_idle)]
+               { impl->close(ends_at, on_idle); });
 }
 
 const listener_metrics& traffic_plane::callers() const
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -75,6 +75,8 @@
     release_unknown,
     /// No endpoint of the stream's release is listed that does not leave.
     release_gone,
+    /// This instance may end before the request does.
+    instance_ends,
 };
 std::string_view to_string(refusal reason);
 
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -67,6 +67,8 @@
         return "release_unknown";
     case refusal::release_gone:
         return "release_gone";
+    case refusal::instance_ends:
+        return "instance_ends";
     }
     return "unknown";
 }
--- a/packages/daemon/lib/direct_daemon.cpp
+++ b/packages/daemon/lib/direct_daemon.cpp
@@ -245,9 +245,10 @@
 
     void finish()
     {
-        traffic_.close([this] { control_io_.stop(); });
-        ending_.expires_after(settings_.shutdown - settings_.linger -
-                              shutdown_margin);
+        const auto rest =
+            settings_.shutdown - settings_.linger - shutdown_margin;
+        traffic_.close(adapters::now() + rest, [this] { control_io_.stop(); });
+        ending_.expires_after(rest);
         ending_.async_wait([this](error_code) { control_io_.stop(); });
     }
 
