--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -369,6 +369,8 @@
         open = std::move(waiting_);
         waiting_limit_.lift();
         log_.kept(request, open->placed.endpoint.boot);
+        // Its release is the stream's again.
+        streams_.sending(request, open->placed);
         done = co_await follow(request, *open);
         next = done ? std::nullopt : next_of(request, *open);
     }
--- a/test/integration/releases_test.cpp
+++ b/test/integration/releases_test.cpp
@@ -181,6 +181,42 @@
     cr_expect_gt(repeated, 0);
 }
 
+// Guards against ORDER: a stream is remembered at the version of an engine that
+// declined it, though the silent engine before that one began it.
+Test(releases, a_stream_that_stayed_with_a_silent_engine_is_of_its_version)
+{
+    direct_plan plan = mixed_plan(1);
+    plan.engines = 2;
+    plan.versions = {"v1", "v2"};
+    direct_fleet fleet(plan);
+    for (std::size_t i = 0; i < 2; ++i)
+    {
+        fleet.engine(i).set_pause(1, milliseconds(1600));
+        fleet.engine(i).set_fault(answer_fault::cut, 600);
+    }
+    const direct_call asked = fleet.make_call(0);
+    std::future<direct_answer> answer =
+        std::async(std::launch::async, [&] { return ask(asked); });
+    cr_assert(
+        eventually([&] { return fleet.runs_of(asked.id) == 1; }, seconds(2)));
+    const std::size_t other = fleet.engine(0).runs_of(asked.id) == 0 ? 0 : 1;
+    fleet.engine(other).set_fault(answer_fault::declines);
+    const direct_answer got = answer.get();
+    const long last = last_event_of(got, 0);
+    cr_assert_gt(last, 0);
+    cr_assert_not(got.whole);
+    cr_assert(
+        fleet.says(fleet.at(0), "sycamorelock_silent_endpoints_kept_total 1"));
+    for (std::size_t i = 0; i < 2; ++i)
+    {
+        fleet.engine(i).set_pause(0, milliseconds(0));
+        fleet.engine(i).set_fault(answer_fault::none);
+    }
+    const direct_call again = resumption(fleet, 0, asked.id, last);
+    ask(again);
+    cr_expect_eq(fleet.engine(other).runs_of(again.id), 0);
+}
+
 // Guards against a stream that goes on at another version because no engine of
 // its own is left.
 Test(releases, a_broken_stream_whose_version_has_left_ends_so_that_it_looks_cut)
