--- a/test/integration/drain_test.cpp
+++ b/test/integration/drain_test.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
+#include <sstream>
+
 using namespace standin;
 using std::chrono::milliseconds;
 
@@ -311,6 +313,38 @@
     wait_for_end(running.at(0));
 }
 
+namespace
+{
+
+/// Sets how long the first instance may take to end.
+void end_within(direct_fleet& running, long shutdown_ms)
+{
+    static constexpr std::string_view usual = "shutdown_ms: 5000";
+    const direct_instance& only = running.at(0);
+    std::string settings = running.settings_of(only);
+    settings.replace(settings.find(usual), usual.size(),
+                     "shutdown_ms: " + std::to_string(shutdown_ms));
+    running.write_settings(only, settings);
+    kill(only.pid, SIGHUP);
+    std::this_thread::sleep_for(milliseconds(300));
+}
+
+/// The line of a log on how a request ended.
+std::string line_on_end(const std::string& log, const std::string& id)
+{
+    std::istringstream lines(log);
+    std::string line;
+    while (std::getline(lines, line))
+    {
+        if (line.find("request_ended") != std::string::npos &&
+            line.find('"' + id + '"') != std::string::npos)
+            return line;
+    }
+    return "no line";
+}
+
+} // namespace
+
 // Guards against LOST: a request that was sent after the time of lingering, on
 // a connection that had been opened before, was taken and cut at the end of the
 // drain.
@@ -322,14 +356,9 @@
     plan.gap = milliseconds(200);
     direct_fleet running(plan);
     direct_instance& only = running.at(0);
-    std::string settings = running.settings_of(only);
-    settings.replace(settings.find("shutdown_ms: 5000"), 17,
-                     "shutdown_ms: 2500");
-    running.write_settings(only, settings);
-    kill(only.pid, SIGHUP);
+    end_within(running, 2500);
     asio::io_context context(1);
     std::vector<beast::tcp_stream> streams;
-    std::this_thread::sleep_for(milliseconds(300));
     // Lingers for 0.5 s.
     kill(only.pid, SIGTERM);
     std::this_thread::sleep_for(milliseconds(350));
@@ -345,3 +374,46 @@
     cr_expect_eq(running.runs_of(asked.id), 0);
     wait_for_end(only);
 }
+
+// Guards against LOST: a request whose answer had not begun when the process
+// ended got none, and no line told of what was cut.
+Test(drain, what_is_open_at_the_end_of_an_instance_is_answered_or_logged)
+{
+    direct_plan plan;
+    plan.instances = 1;
+    plan.engines = 2;
+    plan.events = 40;
+    plan.gap = milliseconds(100);
+    direct_fleet running(plan);
+    direct_instance& only = running.at(0);
+    end_within(running, 1500);
+    const std::array<direct_call, 2> asked{running.make_call(0),
+                                           running.make_call(0)};
+    std::array<direct_answer, 2> got;
+    const auto runs = [&](std::size_t which)
+    {
+        return eventually([&] { return running.runs_of(asked[which].id) == 1; },
+                          std::chrono::seconds(2));
+    };
+    std::thread first([&] { got[0] = ask(asked[0]); });
+    const bool first_runs = runs(0);
+    for (std::size_t i = 0; i < plan.engines; ++i)
+        running.engine(i).set_fault(answer_fault::silent);
+    std::thread second([&] { got[1] = ask(asked[1]); });
+    const bool second_runs = runs(1);
+    kill(only.pid, SIGTERM);
+    first.join();
+    second.join();
+    cr_assert(first_runs && second_runs);
+    cr_expect_eq(got[0].status, 200U);
+    cr_expect_not(got[0].whole);
+    cr_expect_eq(got[1].status, 504U, "%u", got[1].status);
+    wait_for_end(only);
+    const std::string log = running.log_of(only);
+    for (const direct_call& each : asked)
+    {
+        const std::string line = line_on_end(log, each.id);
+        cr_expect(line.find("instance_ends") != std::string::npos, "%s: %s",
+                  each.id.c_str(), line.c_str());
+    }
+}
