What is open at the end of an instance is answered or logged

What callers saw (LOST): a request that had been accepted and whose answer had not begun when the time of a shutdown was over got no answer; its connection closed with the process. Cause: both event loops were stopped under all that was open; no line and no counter told of it. The time of the end was counted from the last timer, so that a late control thread moved it towards SIGKILL. Now the end is counted from the signal; 150 ms before the loops stop each open request ends: 504 where no answer has begun (it was sent, so nothing can be promised), a cut where one has, both with instance_ends in request_ended, ended_total or cut_total.

--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
@@ -84,6 +84,8 @@
     /// \param ends_at when the process ends at the latest. A request that may
     /// last longer is refused from now on.
     void close(core::time_point ends_at, std::function<void()> on_idle);
+    /// Ends what is open: with an answer, or by a cut where one has begun.
+    void end_requests();
     /// Any thread.
     [[nodiscard]] const listener_metrics& callers() const;
     /// Makes the metrics page and calls back on the traffic thread.
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -90,6 +90,12 @@
         end_if_idle();
 }
 
+void request_session::end_request()
+{
+    if (busy_)
+        stop_request(stop::instance_ends);
+}
+
 void request_session::end_if_idle()
 {
     if (busy_)
@@ -541,23 +547,25 @@
 asio::awaitable<void> request_session::answer_failure(open_request& request,
                                                       attempt_end last)
 {
+    const std::string_view stopped_by =
+        stop_ == stop::time_over ? "time_over" : "instance_ends";
     if (out_.begun())
     {
         cut();
-        if (stop_ == stop::time_over)
+        if (stop_ != stop::none)
         {
-            request.stopped_by = "time_over";
+            request.stopped_by = stopped_by;
             request.not_repeated = {};
         }
         log_.ended(request, "cut", 0);
         co_return;
     }
-    if (stop_ == stop::time_over)
+    if (stop_ != stop::none)
     {
         // It was sent, so nothing can be promised.
-        co_await answer_problem(http::status::gateway_timeout, "time_over",
+        co_await answer_problem(http::status::gateway_timeout, stopped_by,
                                 milliseconds(0));
-        log_.ended(request, "time_over", 504);
+        log_.ended(request, stopped_by, 504);
         co_return;
     }
     if (request.may_have_run)
--- a/packages/adapters/lib/direct/request_session.hpp
+++ b/packages/adapters/lib/direct/request_session.hpp
@@ -27,6 +27,9 @@
     /// The same, but a caller that connected after a moment may still send its
     /// first request.
     void end_if_idle_and_opened_before(core::time_point latest);
+    /// Ends the request that is open, as the process ends: with an answer, or
+    /// by a cut if its answer has begun.
+    void end_request();
 
   private:
     using parser = http::request_parser<http::string_body>;
@@ -37,6 +40,7 @@
         none,
         caller_left,
         time_over,
+        instance_ends,
     };
 
     asio::awaitable<bool> serve_one();
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -106,6 +106,12 @@
             io_, [session] { return session->run(); }, asio::detached);
     }
 
+    void end_requests()
+    {
+        for (request_session* session : sessions_)
+            session->end_request();
+    }
+
     [[nodiscard]] std::size_t connections() const { return sessions_.size(); }
 
     bool make_room()
@@ -437,6 +443,11 @@
                { impl->close(ends_at, on_idle); });
 }
 
+void traffic_plane::end_requests()
+{
+    asio::post(impl_->io(), [impl = impl_] { impl->end_requests(); });
+}
+
 const listener_metrics& traffic_plane::callers() const
 {
     return impl_->metrics();
--- a/packages/daemon/lib/direct_daemon.cpp
+++ b/packages/daemon/lib/direct_daemon.cpp
@@ -33,6 +33,8 @@
 
 /// Left of the time for a graceful shutdown when what is still open is cut.
 constexpr std::chrono::milliseconds shutdown_margin{300};
+/// Time within the margin in which the last answers go out.
+constexpr std::chrono::milliseconds last_answers{150};
 /// How often the settings file is read to see a change without a signal.
 constexpr std::chrono::milliseconds settings_period{2000};
 constexpr unsigned ok = 200;
@@ -237,6 +239,7 @@
         if (leaving_)
             return;
         leaving_ = true;
+        ends_at_ = adapters::now() + settings_.shutdown - shutdown_margin;
         control_.leave();
         traffic_.leave();
         ending_.expires_after(settings_.linger);
@@ -245,10 +248,15 @@
 
     void finish()
     {
-        const auto rest =
-            settings_.shutdown - settings_.linger - shutdown_margin;
-        traffic_.close(adapters::now() + rest, [this] { control_io_.stop(); });
-        ending_.expires_after(rest);
+        traffic_.close(ends_at_, [this] { control_io_.stop(); });
+        ending_.expires_after(ends_at_ - adapters::now());
+        ending_.async_wait([this](error_code) { end_requests(); });
+    }
+
+    void end_requests()
+    {
+        traffic_.end_requests();
+        ending_.expires_after(last_answers);
         ending_.async_wait([this](error_code) { control_io_.stop(); });
     }
 
@@ -267,6 +275,7 @@
     std::optional<page_server> readiness_;
     std::optional<page_server> operators_;
     bool leaving_ = false;
+    core::time_point ends_at_;
 };
 
 } // namespace
