The failure of another endpoint is passed on, not waited out

An attempt whose body is not written yet is ended as before and does not wait, as cancelling would tear the request (from reading; no test: a socket on loopback takes the largest body at once).

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -250,7 +250,8 @@
                            channel_->buffer.size() == buffered_;
     if (!is_silent || !request_.secure_next(unfinished_end()))
         expect_within(limit);
-    else if (skipping_)
+    else if (skipping_ || !*sent_)
+        // Its state does not outlive a cancelled operation.
         give_up_silent();
     else
         wait_for_another();
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -370,7 +370,8 @@
     auto open = make_attempt(request, std::move(placed));
     bool done = co_await follow(request, *open);
     auto next = done ? std::nullopt : next_of(request, *open);
-    if (!done && !next && waiting_ && stop_ == stop::none)
+    const bool may_stay = !done && !next && open->end != attempt_end::held;
+    if (may_stay && waiting_ && stop_ == stop::none)
     {
         open = std::move(waiting_);
         waiting_limit_.lift();
--- a/test/integration/silence_test.cpp
+++ b/test/integration/silence_test.cpp
@@ -193,6 +193,27 @@
         fleet.says(fleet.at(0), "sycamorelock_silent_endpoints_kept_total 1"));
 }
 
+// Guards against callers who wait until their time is over for a silent
+// endpoint, though another one has answered that it failed.
+Test(silence, the_failure_of_another_endpoint_is_passed_on)
+{
+    direct_plan plan = one_endpoint_each();
+    plan.engines = 2;
+    direct_fleet fleet(plan);
+    for (std::size_t i = 0; i < 2; ++i)
+        fleet.engine(i).set_fault(answer_fault::silent);
+    const direct_call asked = fleet.make_call(0);
+    direct_answer got;
+    std::thread caller([&] { got = ask(asked); });
+    const bool begun = eventually([&] { return fleet.runs_of(asked.id) == 1; },
+                                  std::chrono::seconds(2));
+    const std::size_t other = fleet.engine(0).runs_of(asked.id) == 0 ? 0 : 1;
+    fleet.engine(other).set_fault(answer_fault::server_error);
+    caller.join();
+    cr_assert(begun);
+    cr_expect_eq(got.status, 500U, "%u", got.status);
+}
+
 // Guards against work that is done twice: an endpoint that was silent works on
 // after another one has taken its request.
 Test(silence, an_endpoint_is_left_once_another_has_taken_its_request)
