Without descriptors one endpoint is tried, and ends of callers are told apart

Found by the review of: as a lack of descriptors sets no endpoint aside any more, each request was tried at all endpoints of its service in turn.

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -544,7 +544,7 @@
         }
         if (co_await pass_on(whole, done))
         {
-            why_ = "caller_left";
+            why_ = "write_failed";
             co_return attempt_end::abandoned;
         }
         if (done)
@@ -579,7 +579,7 @@
         const bool done = parser_->is_done();
         if (co_await pass_on(bytes, done))
         {
-            why_ = "caller_left";
+            why_ = "write_failed";
             co_return attempt_end::abandoned;
         }
         if (done)
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -96,6 +96,8 @@
     /// Status of the endpoint's answer, 0 if there was none.
     [[nodiscard]] unsigned status() const { return status_; }
     [[nodiscard]] std::string_view why() const { return why_; }
+    /// Whether this process had nothing left for a connection.
+    [[nodiscard]] bool has_shortage() const { return has_shortage_; }
     /// When the first event, or a whole answer, came; zero if none did.
     [[nodiscard]] core::time_point first_at() const { return first_at_; }
     /// Longest pause between two events.
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -452,6 +452,11 @@
 {
     if (stop_ != stop::none)
         return std::nullopt;
+    if (which.tried->has_shortage())
+    {
+        request.not_repeated = "local_shortage";
+        return std::nullopt;
+    }
     auto next = std::move(request.next);
     if (!which.tried->is_silent() || !next)
         next = place_again(request, which.end);
@@ -488,6 +493,8 @@
     if (left)
     {
         keep_ = false;
+        request.stopped_by =
+            stop_ == stop::caller_left ? "caller_closed" : tried.why();
         log_.ended(request, "caller_left", 0);
         co_return true;
     }
--- a/test/integration/descriptors_test.cpp
+++ b/test/integration/descriptors_test.cpp
@@ -481,7 +481,7 @@
      .timeout = 60)
 {
     direct_plan plan = one_direct_instance();
-    plan.plain = 1;
+    plan.plain = 3;
     direct_fleet running(plan);
     asio::io_context io;
     beast::tcp_stream kept(io);
@@ -495,4 +495,9 @@
     const unsigned status =
         status_over(kept, running.make_call(0, "/look/1"), io);
     cr_expect_eq(status, 200U, "%u", status);
+    // Others cannot be asked either: each try costs time and lines of log.
+    const auto logged = [&](const char* text)
+    { return running.log_of(running.at(0)).find(text) != std::string::npos; };
+    cr_expect(eventually([&] { return logged("local_shortage"); }, seconds(3)));
+    cr_expect_not(logged("attempt_repeated"));
 }
