An attempt that was not sent says nothing of its endpoint

What callers saw (LOST class): refusals for want of an endpoint, at all instances, after one instance had let leases run out or had not yet known an endpoint. Cause: whatever kept a request from being sent was released as endpoint_failed, so three such attempts ejected the endpoint. Class: the lack of something here is taken for the fault of the endpoint. Now nothing_sent means want of time or of a route here, and its grant is handed back as unused by the message that exists for that, so older instances understand it; they charge nothing for it, as before. (A release with the outcome "unused" would be refunded twice, also by older ones.) A fresh connection that takes no byte is not_connected and still counts; a kept one is tried again on a fresh one. The failure had also sent the next attempt elsewhere. That is now told by the request itself: enqueue names the endpoint of the attempt before, and another one is preferred. Older schedulers skip the field. What endpoint_call.cpp tells late, unrouted and broken attempts by has no test of its own.

--- a/packages/adapters/lib/endpoint_call.cpp
+++ b/packages/adapters/lib/endpoint_call.cpp
@@ -127,7 +127,8 @@
     out.body() = asked.body();
     out.prepare_payload();
     // The last look at the lease: after this point the request may run.
-    if (now() >= order_.valid_until || aborted_)
+    withheld_ = now() >= order_.valid_until || aborted_;
+    if (withheld_)
         co_return false;
     stream_->expires_after(context_.control.settings().endpoint_timeout);
     auto [error, bytes] = co_await http::async_write(*stream_, out, as_result);
@@ -135,6 +136,14 @@
     co_return !error;
 }
 
+core::attempt_end endpoint_call::unanswered_end() const
+{
+    using enum core::attempt_end;
+    if (sent_)
+        return failed_before_answer;
+    return withheld_ ? nothing_sent : not_connected;
+}
+
 asio::awaitable<bool> endpoint_call::read_header()
 {
     for (;;)
@@ -274,21 +283,20 @@
     if (route == nullptr)
         co_return result(attempt_end::nothing_sent);
     if (!co_await open(*route, false))
-        co_return result(attempt_end::not_connected);
+        co_return result(unanswered_end());
     bool answered = co_await send() && co_await read_header();
-    if (!answered && pooled_ && sent_ && !aborted_)
+    if (!answered && pooled_ && !withheld_ && !aborted_)
     {
         // The endpoint may have closed the idle connection just now; that is
         // no failure of the endpoint. Only repeatable requests get here.
         stream_.reset();
         buffer_.clear();
         if (!co_await open(*route, true))
-            co_return result(attempt_end::failed_before_answer);
+            co_return result(unanswered_end());
         answered = co_await send() && co_await read_header();
     }
     if (!answered)
-        co_return result(sent_ ? attempt_end::failed_before_answer
-                               : attempt_end::nothing_sent);
+        co_return result(unanswered_end());
     if (!answers_this_request())
     {
         context_.control.log().write(process_event::invariant_answer_mixed,
--- a/packages/adapters/lib/endpoint_call.hpp
+++ b/packages/adapters/lib/endpoint_call.hpp
@@ -70,6 +70,7 @@
     void count_tokens(const char* data, std::size_t size);
     [[nodiscard]] bool answers_this_request() const;
     [[nodiscard]] core::cost cost_so_far() const;
+    [[nodiscard]] core::attempt_end unanswered_end() const;
     core::attempt_result result(core::attempt_end end);
 
     call_context context_;
@@ -79,6 +80,8 @@
     std::unique_ptr<answer_parser> parser_;
     bool pooled_ = false;
     bool sent_ = false;
+    /// Nothing was sent last, for want of something here.
+    bool withheld_ = false;
     bool answer_begun_ = false;
     bool aborted_ = false;
     bool event_stream_ = false;
--- a/packages/core/include/sycamorelock/core/endpoint_pool.hpp
+++ b/packages/core/include/sycamorelock/core/endpoint_pool.hpp
@@ -40,8 +40,10 @@
     void set_leaving(endpoint_id id, bool leaving);
 
     /// The endpoint for the next request, or nothing when none has a free
-    /// slot. One that served the same prompt prefix is preferred.
-    [[nodiscard]] std::optional<endpoint_id> pick(std::uint32_t prefix) const;
+    /// slot. One that served the same prompt prefix is preferred, and one that
+    /// the request has not been granted before.
+    [[nodiscard]] std::optional<endpoint_id> pick(std::uint32_t prefix,
+                                                  endpoint_id tried = {}) const;
     void take(endpoint_id id, std::uint32_t prefix);
     void give_back(time_point now, endpoint_id id, attempt_outcome outcome,
                    duration token_delay);
--- a/packages/core/include/sycamorelock/core/entry.hpp
+++ b/packages/core/include/sycamorelock/core/entry.hpp
@@ -30,9 +30,9 @@
 enum class attempt_end : std::uint8_t
 {
     completed,
-    /// No byte of the request left this instance.
+    /// No byte of the request left this instance, for want of something here.
     nothing_sent,
-    /// There was no connection to send anything on.
+    /// The endpoint gave no connection that took a byte of the request.
     not_connected,
     /// Sent, but no byte of an answer went to the caller.
     failed_before_answer,
--- a/packages/core/include/sycamorelock/core/fair_queue.hpp
+++ b/packages/core/include/sycamorelock/core/fair_queue.hpp
@@ -25,6 +25,7 @@
     time_point deadline;
     time_point enqueued;
     std::uint32_t prefix = 0;
+    endpoint_id tried;
     bool moved = false;
     bool requeued = false;
 };
--- a/packages/core/include/sycamorelock/core/messages.hpp
+++ b/packages/core/include/sycamorelock/core/messages.hpp
@@ -52,6 +52,8 @@
     cost estimate;
     std::chrono::milliseconds time_left{0};
     std::uint32_t prefix = 0;
+    /// Endpoint of the attempt before, if any; another one is preferred.
+    endpoint_id tried;
     /// Clock of the entry, echoed in the grant.
     std::chrono::milliseconds entry_clock{0};
     /// Set when a scheduler moved the request to another shard.
--- a/packages/core/lib/endpoint_pool.cpp
+++ b/packages/core/lib/endpoint_pool.cpp
@@ -75,12 +75,13 @@
     return busy >= limit ? 0 : limit - busy;
 }
 
-std::optional<endpoint_id> endpoint_pool::pick(std::uint32_t prefix) const
+std::optional<endpoint_id> endpoint_pool::pick(std::uint32_t prefix,
+                                               endpoint_id tried) const
 {
     if (prefix != 0)
     {
         const auto warm = prefixes_.find(prefix);
-        if (warm != prefixes_.end())
+        if (warm != prefixes_.end() && warm->second != tried)
         {
             const auto found = endpoints_.find(warm->second);
             if (found != endpoints_.end() && free_of(found->second) > 0)
@@ -95,8 +96,9 @@
         if (free == 0)
             continue;
         // A recent failure weighs more than any difference in load.
+        const std::uint32_t against = endpoint.failures + (id == tried ? 1 : 0);
         const double score = static_cast<double>(free) / endpoint.slots -
-                             static_cast<double>(endpoint.failures);
+                             static_cast<double>(against);
         if (best != nullptr && score <= best_score)
             continue;
         best = &endpoint;
--- a/packages/core/lib/entry.cpp
+++ b/packages/core/lib/entry.cpp
@@ -128,6 +128,7 @@
     message.estimate = request.estimate;
     message.time_left = in_milliseconds(request.deadline - now);
     message.prefix = request.spec.prefix;
+    message.tried = request.endpoint;
     message.requeued = request.requeued;
     message.entry_clock = in_milliseconds(now.time_since_epoch());
     out_.send(*owner, message);
@@ -252,15 +253,15 @@
         out_.note(event_number::request_completed, to_string(result.request));
         close(now, found);
         return;
-    case attempt_end::not_connected:
     case attempt_end::nothing_sent:
+        // Unlike a release this says nothing of the endpoint.
+        withdraw_from_holder(request);
+        retry_or_refuse(now, found, retry_reason::nothing_sent, executed::no);
+        return;
+    case attempt_end::not_connected:
         send_release(request, cost(0), attempt_outcome::endpoint_failed,
                      duration(0));
-        retry_or_refuse(now, found,
-                        result.end == attempt_end::not_connected
-                            ? retry_reason::connect_failed
-                            : retry_reason::nothing_sent,
-                        executed::no);
+        retry_or_refuse(now, found, retry_reason::connect_failed, executed::no);
         return;
     case attempt_end::failed_before_answer:
         send_release(request, result.total, attempt_outcome::endpoint_failed,
--- a/packages/core/lib/shard_moves.cpp
+++ b/packages/core/lib/shard_moves.cpp
@@ -216,6 +216,7 @@
     message.time_left = std::chrono::duration_cast<std::chrono::milliseconds>(
         request.deadline - now);
     message.prefix = request.prefix;
+    message.tried = request.tried;
     message.entry_clock = entry_clocks_[request.id.entry];
     message.moved = true;
     return message;
--- a/packages/core/lib/shard_scheduler.cpp
+++ b/packages/core/lib/shard_scheduler.cpp
@@ -146,6 +146,7 @@
     request.deadline = now + message.time_left;
     request.enqueued = now;
     request.prefix = message.prefix;
+    request.tried = message.tried;
     request.moved = message.moved;
     request.requeued = message.requeued;
     enqueue_fairly(now, request);
@@ -252,7 +253,7 @@
         return;
     while (const waiting_request* next = queue_.front())
     {
-        const auto endpoint = pool_.pick(next->prefix);
+        const auto endpoint = pool_.pick(next->prefix, next->tried);
         if (!endpoint)
             break;
         give(now, *endpoint);
--- a/packages/core/unittests/endpoint_pool_test.cpp
+++ b/packages/core/unittests/endpoint_pool_test.cpp
@@ -57,6 +57,18 @@
     cr_assert(f.pool.pick(42) == f.second);
 }
 
+Test(endpoint_pool, one_that_was_tried_is_left_while_another_has_room)
+{
+    fixture f;
+    cr_assert(f.pool.pick(0) == f.first);
+    cr_assert(f.pool.pick(0, f.first) == f.second);
+    f.pool.take(f.first, 42);
+    cr_assert(f.pool.pick(42, f.first) == f.second);
+    for (int i = 0; i < 4; ++i)
+        f.pool.take(f.second, 0);
+    cr_assert(f.pool.pick(0, f.first) == f.first);
+}
+
 Test(endpoint_pool, repeated_failures_eject_and_a_probe_brings_back)
 {
     fixture f;
--- a/packages/core/unittests/fake_fleet.cpp
+++ b/packages/core/unittests/fake_fleet.cpp
@@ -51,6 +51,18 @@
     return domain_id::of("d" + std::to_string(index));
 }
 
+std::string fake_fleet::endpoint_name(std::size_t domain, std::size_t endpoint)
+{
+    return "planner/" + std::to_string(domain) + '-' + std::to_string(endpoint);
+}
+
+void fake_fleet::lose_route(std::size_t index, std::size_t domain,
+                            std::size_t endpoint)
+{
+    lost_routes_.emplace(index,
+                         endpoint_id::of(endpoint_name(domain, endpoint)));
+}
+
 topology fake_fleet::make_tree() const
 {
     topology tree;
@@ -72,8 +84,7 @@
         for (std::size_t e = 0; e < plan_.endpoints_per_domain; ++e)
         {
             endpoint_spec spec;
-            spec.name =
-                "planner/" + std::to_string(d) + '-' + std::to_string(e);
+            spec.name = endpoint_name(d, e);
             spec.id = endpoint_id::of(spec.name);
             spec.domain = domain(d);
             spec.slots = plan_.slots;
@@ -216,7 +227,8 @@
     made.result.request = order.request;
     made.result.attempt = order.attempt;
     std::optional<attempt_end> unsent;
-    if (now_ >= order.valid_until || chance(chances_.nothing_sent))
+    const bool routed = !lost_routes_.contains({from, order.endpoint});
+    if (!routed || now_ >= order.valid_until || chance(chances_.nothing_sent))
         unsent = attempt_end::nothing_sent;
     else if (chance(chances_.not_connected))
         unsent = attempt_end::not_connected;
--- a/packages/core/unittests/fake_fleet.hpp
+++ b/packages/core/unittests/fake_fleet.hpp
@@ -81,6 +81,9 @@
     void publish_members(const std::set<std::size_t>& without,
                          duration most_lag);
     void set_chances(chances what) { chances_ = what; }
+    /// A node does not know an endpoint, as with an older configuration.
+    void lose_route(std::size_t index, std::size_t domain,
+                    std::size_t endpoint);
 
     [[nodiscard]] std::size_t size() const { return nodes_.size(); }
     [[nodiscard]] bool running(std::size_t index) const;
@@ -130,6 +133,7 @@
     bool chance(unsigned percent);
     [[nodiscard]] moment current() const;
     [[nodiscard]] bool reachable(std::size_t from, std::size_t to) const;
+    static std::string endpoint_name(std::size_t domain, std::size_t endpoint);
     topology make_tree() const;
     membership make_members(const std::set<std::size_t>& without) const;
     void on_send(std::size_t from, instance_id to,
@@ -147,6 +151,7 @@
     std::vector<run> runs_;
     std::vector<late_list> late_lists_;
     std::set<std::size_t> cut_;
+    std::set<std::pair<std::size_t, endpoint_id>> lost_routes_;
     std::map<request_id, outcome> outcomes_;
     std::map<event_number, int> events_;
     std::map<account_id, std::int64_t> service_;
--- a/packages/core/unittests/regression_test.cpp
+++ b/packages/core/unittests/regression_test.cpp
@@ -64,3 +64,20 @@
     fleet.advance(std::chrono::seconds(10));
     cr_expect_eq(fleet.events(event_number::endpoint_ejected), 0);
 }
+
+// Guards against requests that are refused because each of their attempts goes
+// to the endpoint that the entry does not know.
+Test(regression, an_attempt_that_was_not_sent_is_followed_by_one_elsewhere)
+{
+    fake_fleet fleet({});
+    for (std::size_t domain = 0; domain < 3; ++domain)
+        fleet.lose_route(0, domain, 0);
+    fleet.advance(std::chrono::seconds(3));
+    for (int i = 0; i < 20; ++i)
+    {
+        const request_id id = fleet.submit(0, 0);
+        fleet.advance(std::chrono::seconds(2));
+        cr_expect_eq(fleet.outcomes().at(id).completed, 1, "%d", i);
+    }
+    cr_expect_eq(fleet.events(event_number::endpoint_ejected), 0);
+}
--- a/packages/wire/lib/convert_requests.cpp
+++ b/packages/wire/lib/convert_requests.cpp
@@ -36,6 +36,7 @@
     to.set_estimate(write_cost(from.estimate));
     to.set_time_left_ms(from.time_left.count());
     to.set_prefix(from.prefix);
+    to.set_tried(from.tried.value());
     to.set_entry_clock_ms(from.entry_clock.count());
     to.set_moved(from.moved);
     to.set_requeued(from.requeued);
@@ -51,6 +52,7 @@
     to.estimate = read_cost(from.estimate());
     to.time_left = read_ms(from.time_left_ms());
     to.prefix = from.prefix();
+    to.tried = core::endpoint_id(from.tried());
     to.entry_clock = read_ms(from.entry_clock_ms());
     to.moved = from.moved();
     to.requeued = from.requeued();
--- a/packages/wire/unittests/codec_test.cpp
+++ b/packages/wire/unittests/codec_test.cpp
@@ -28,6 +28,7 @@
     wanted.estimate = core::cost(250);
     wanted.time_left = std::chrono::milliseconds(5000);
     wanted.moved = true;
+    wanted.tried = core::endpoint_id::of("e");
     core::gossip news;
     news.heartbeats.push_back({content.sender, 77, 9, true});
     news.config = {4, 99};
@@ -75,6 +76,7 @@
     cr_assert_eq(wanted.request.number, 123U);
     cr_assert_eq(wanted.estimate.value(), 250);
     cr_assert(wanted.moved);
+    cr_assert(wanted.tried == core::endpoint_id::of("e"));
     const auto& report = std::get<core::service_report>(back.messages[2]);
     cr_assert_eq(report.items[0].total, -5);
     cr_assert(report.items[0].waiting);
