An instance without descriptors ejects no endpoint

What callers saw (LOST class): 503 no_endpoint at an instance that had descriptors again, as its endpoint had been ejected, for all instances, when connections to it could not be opened here. Cause: in the scheduled fleet each connection that was not opened counted against the endpoint, whoever lacked what. Class: the lack of something here is taken for the fault of the endpoint. Now an error that tells of no descriptor, port or memory on this side ends the attempt as nothing_sent, whose grant is handed back as unused.

--- a/packages/adapters/lib/endpoint_call.cpp
+++ b/packages/adapters/lib/endpoint_call.cpp
@@ -2,6 +2,7 @@
 #include "endpoint_call.hpp"
 
 #include "header_copy.hpp"
+#include "local_shortage.hpp"
 #include "socket_state.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
@@ -113,6 +114,7 @@
     const tcp::endpoint to(asio::ip::make_address(route.ip), route.port);
     const error_code error = co_await connect_from(
         *stream_, context_.control.settings().address, to);
+    withheld_ = is_local_shortage(error);
     co_return !error;
 }
 
--- a/test/integration/descriptors_test.cpp
+++ b/test/integration/descriptors_test.cpp
@@ -263,6 +263,23 @@
     return got.status;
 }
 
+asio::awaitable<void> keep_calling(beast::tcp_stream& kept, call asked,
+                                   answer& got)
+{
+    got = co_await ask_over(kept, asked);
+}
+
+/// Answer to a call over a connection that stands.
+answer answer_over(beast::tcp_stream& kept, const call& asked,
+                   asio::io_context& io)
+{
+    answer got;
+    asio::co_spawn(io, keep_calling(kept, asked, got), asio::detached);
+    io.restart();
+    io.run();
+    return got;
+}
+
 } // namespace
 
 Test(descriptors, a_fresh_instance_outlives_a_shortage, .timeout = 60)
@@ -496,3 +513,27 @@
         status_over(kept, running.make_call(0, "/look/1"), io);
     cr_expect_eq(status, 200U, "%u", status);
 }
+
+// Guards against endpoints that are ejected for all instances because one had
+// no descriptor for a connection to them.
+Test(descriptors, an_instance_without_descriptors_ejects_no_endpoint,
+     .timeout = 60)
+{
+    fleet running(one_instance());
+    const instance& only = running.at(0);
+    asio::io_context io;
+    beast::tcp_stream kept(io);
+    kept.connect(endpoint_of(only.caller_address()));
+    std::this_thread::sleep_for(milliseconds(200));
+    {
+        const shortage_of none_left(only.pid);
+        const answer got =
+            answer_over(kept, running.make_call(0, "north", "desk"), io);
+        cr_assert_eq(got.reason, "retries_exhausted", "%u %s", got.status,
+                     got.reason.c_str());
+        cr_assert_eq(got.executed, "no");
+    }
+    const answer got =
+        answer_over(kept, running.make_call(0, "north", "desk"), io);
+    cr_expect(got.completed(), "%u %s", got.status, got.reason.c_str());
+}
