--- a/packages/adapters/unittests/descriptor_shortage_test.cpp
+++ b/packages/adapters/unittests/descriptor_shortage_test.cpp
@@ -3,6 +3,7 @@
 #include "sycamorelock/adapters/direct/page_server.hpp"
 #include "sycamorelock/adapters/operator_server.hpp"
 
+#include "../lib/local_shortage.hpp"
 #include "descriptor_shortage.hpp"
 #include "own_ip.hpp"
 
@@ -161,3 +162,19 @@
     cr_expect(status.starts_with("HTTP/1.1 200"), "%s", status.c_str());
     cr_expect_eq(server.metrics().closed_for_room.load(), silent + 1 - bound);
 }
+
+// Guards against endpoints that are ejected because this instance's address had
+// no free port for a connection to them.
+Test(local_shortage, only_what_is_lacking_here_counts)
+{
+    namespace system = boost::system;
+    for (const int lacking :
+         {EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, EADDRINUSE})
+        cr_expect(adapters::is_local_shortage(
+                      system::error_code(lacking, system::system_category())),
+                  "%d", lacking);
+    for (const int other : {0, ECONNREFUSED, ECONNRESET, ETIMEDOUT, EPIPE})
+        cr_expect_not(adapters::is_local_shortage(
+                          system::error_code(other, system::system_category())),
+                      "%d", other);
+}
