A test of a release that begins within a cut

What callers saw (ORDER): a stream that had begun at a new release could go on at the one before, at an instance that was cut off right before the release.

--- a/packages/core/unittests/direct_releases_test.cpp
+++ b/packages/core/unittests/direct_releases_test.cpp
@@ -225,6 +225,25 @@
     cr_expect_eq(fix.one.streams.take_untold(fix.one.now).size(), 1U);
 }
 
+// Guards against a guess by an instance whose last news is fresh and older than
+// a release: it was cut off right before, and has heard neither of the release
+// nor of its streams.
+Test(direct_releases, a_release_that_came_since_the_last_news_is_no_guess)
+{
+    two_watchers fix;
+    fix.one.is_cut_off = true;
+    fix.pass(milliseconds(200));
+    fix.other.list({first, second});
+    fix.other.streams.note(fix.other.now, sent_to(second, "a"));
+    for (int i = 0; i < 30; ++i)
+    {
+        fix.pass(milliseconds(100));
+        cr_expect(fix.one.source_of("a") == stream_source::unknown);
+        cr_expect_not(fix.one.streams.sole(fix.one.now, drafts).has_value(),
+                      "%d ms after the stream began", 100 * (i + 1));
+    }
+}
+
 // Guards against a guess after a cut: a release may have come and gone in it.
 Test(direct_releases, after_a_cut_an_instance_does_not_guess)
 {
