A test that streams go on after a kill while one version serves

The rule LOST for streams that are taken up: 12 of 12 streams that were begun at an instance that is killed go on at another one that nobody told of them.

--- a/test/integration/releases_test.cpp
+++ b/test/integration/releases_test.cpp
@@ -421,6 +421,29 @@
         seconds(3)));
 }
 
+// Guards against streams that are refused while one version serves: nothing was
+// told of them, and the instance that takes them up has to ask the store.
+Test(releases, where_one_version_serves_all_streams_go_on_after_a_kill)
+{
+    direct_plan plan = mixed_plan(2);
+    plan.versions.clear();
+    direct_fleet fleet(plan);
+    std::this_thread::sleep_for(history_time + seconds(1));
+    auto begun = begin_streams(fleet, {0, 1});
+    std::this_thread::sleep_for(milliseconds(250));
+    fleet.kill(fleet.at(0));
+    std::size_t whole = 0;
+    std::size_t taken = 0;
+    for (auto& each : begun)
+    {
+        const taken_up stream = each.get();
+        whole += stream.last.status == 200 && stream.last.whole ? 1 : 0;
+        taken += stream.attempts.size() == 2 ? 1 : 0;
+    }
+    cr_expect_eq(whole, streams, "%zu whole", whole);
+    cr_expect_eq(taken, streams, "%zu taken up", taken);
+}
+
 // Guards against a guess on old news: while the store is away another version
 // may have started. What is known of a stream holds.
 Test(releases, while_the_store_is_away_nothing_is_guessed)
