Two endpoints may have a request for 100 ms

The review: an instance whose event loop is late adds to the time in which a silent endpoint and the next one both have a request, and the work of both for over 400 ms is twice the work. Declines come within a few ms.

--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -25,7 +25,7 @@
 constexpr milliseconds least_pause{50};
 /// How long two endpoints may have a request: the next one declines at once or
 /// runs it, and then the silent one has to be left.
-constexpr milliseconds overlap_time{250};
+constexpr milliseconds overlap_time{100};
 /// Time that a caller has to take in why its request could not be read.
 constexpr milliseconds linger_time{1000};
 
--- a/test/integration/silence_test.cpp
+++ b/test/integration/silence_test.cpp
@@ -244,6 +244,27 @@
     check_stream(got, asked, 10);
 }
 
+// Guards against the same where the other endpoint does not answer either.
+Test(silence, an_endpoint_is_left_soon_after_another_was_asked)
+{
+    direct_plan plan = one_endpoint_each();
+    plan.plain = 2;
+    direct_fleet fleet(plan);
+    for (std::size_t i = 0; i < 2; ++i)
+        fleet.plain(i).set_fault(answer_fault::silent);
+    const direct_call asked = fleet.make_call(0, "/look/1");
+    std::thread caller([&] { ask(asked); });
+    const bool both = eventually([&] { return fleet.runs_of(asked.id) == 2; },
+                                 std::chrono::seconds(2));
+    const bool left = eventually(
+        [&]
+        { return fleet.plain(0).working() + fleet.plain(1).working() == 1; },
+        milliseconds(400));
+    caller.join();
+    cr_assert(both);
+    cr_expect(left);
+}
+
 // Guards against answers that are thrown away while they arrive: the limit for
 // the first answer held for the whole of it.
 Test(silence, an_answer_that_arrives_in_pieces_is_no_silence)
