--- a/test/integration/silence_test.cpp
+++ b/test/integration/silence_test.cpp
@@ -42,6 +42,15 @@
     return got;
 }
 
+/// Whether one of two engines has begun a request, and the other engine.
+std::pair<bool, std::size_t> where_it_begins(direct_fleet& fleet,
+                                             const direct_call& asked)
+{
+    const bool begun = eventually([&] { return fleet.runs_of(asked.id) == 1; },
+                                  std::chrono::seconds(2));
+    return {begun, fleet.engine(0).runs_of(asked.id) == 0 ? 0 : 1};
+}
+
 /// Stops the process for a time, as a machine that gets no processor does.
 void freeze(const direct_instance& which, milliseconds length)
 {
@@ -161,9 +170,7 @@
     const direct_call asked = fleet.make_call(0);
     direct_answer got;
     std::thread caller([&] { got = ask(asked); });
-    const bool begun = eventually([&] { return fleet.runs_of(asked.id) == 1; },
-                                  std::chrono::seconds(2));
-    const std::size_t other = fleet.engine(0).runs_of(asked.id) == 0 ? 0 : 1;
+    const auto [begun, other] = where_it_begins(fleet, asked);
     fleet.engine(other).set_fault(answer_fault::declines);
     caller.join();
     cr_assert(begun);
@@ -182,9 +189,7 @@
     const direct_call asked = fleet.make_call(0);
     direct_answer got;
     std::thread caller([&] { got = ask(asked); });
-    const bool begun = eventually([&] { return fleet.runs_of(asked.id) == 1; },
-                                  std::chrono::seconds(2));
-    const std::size_t other = fleet.engine(0).runs_of(asked.id) == 0 ? 0 : 1;
+    const auto [begun, other] = where_it_begins(fleet, asked);
     fleet.engine(other).set_fault(answer_fault::lost);
     caller.join();
     cr_assert(begun);
@@ -205,9 +210,7 @@
     const direct_call asked = fleet.make_call(0);
     direct_answer got;
     std::thread caller([&] { got = ask(asked); });
-    const bool begun = eventually([&] { return fleet.runs_of(asked.id) == 1; },
-                                  std::chrono::seconds(2));
-    const std::size_t other = fleet.engine(0).runs_of(asked.id) == 0 ? 0 : 1;
+    const auto [begun, other] = where_it_begins(fleet, asked);
     fleet.engine(other).set_fault(answer_fault::server_error);
     caller.join();
     cr_assert(begun);
@@ -227,9 +230,7 @@
     const direct_call asked = fleet.make_call(0);
     direct_answer got;
     std::thread caller([&] { got = ask(asked); });
-    const bool begun = eventually([&] { return fleet.runs_of(asked.id) == 1; },
-                                  std::chrono::seconds(2));
-    const std::size_t other = fleet.engine(0).runs_of(asked.id) == 0 ? 0 : 1;
+    const auto [begun, other] = where_it_begins(fleet, asked);
     fleet.engine(other).set_fault(answer_fault::none);
     const bool taken =
         eventually([&] { return fleet.engine(other).runs_of(asked.id) == 1; },
