Log lines show which attempts carry the same request

The attempts of one caller have ids of their own, so no line told that the request under which an endpoint ended is the one that went to the next. attempt_repeated, and request_ended of a request that did not end well, now have 'content': a digest of host, method, target, body and parts of the prompt. It is computed only for such lines.

--- a/packages/adapters/lib/direct/open_request.hpp
+++ b/packages/adapters/lib/direct/open_request.hpp
@@ -3,6 +3,7 @@
 
 #include "attempt.hpp"
 
+#include "sycamorelock/core/crash_key.hpp"
 #include "sycamorelock/core/direct/router.hpp"
 
 #include <memory>
@@ -45,7 +46,12 @@
     std::string_view stopped_by;
     std::string_view not_repeated;
     event_splitter events;
+    /// Set by the first call of `content_key`.
+    std::optional<core::crash_key> known_content_key;
 
+    /// Key of what endpoints execute of this request. Computed when it is first
+    /// needed, because few requests need it.
+    [[nodiscard]] core::crash_key content_key();
     /// Whether it goes on with a stream that another attempt began.
     [[nodiscard]] bool resumes_stream() const
     {
--- a/packages/adapters/lib/direct/request_log.cpp
+++ b/packages/adapters/lib/direct/request_log.cpp
@@ -49,6 +49,14 @@
     return std::string(text.empty() ? "none" : text);
 }
 
+/// Key of a request whose attempts did not all end well, so that those of one
+/// caller can be found at all instances.
+std::string content_text(open_request& request)
+{
+    return request.stopped_by.empty() ? "none"
+                                      : to_string(request.content_key());
+}
+
 /// How long the caller said that it would wait.
 std::string left_text(const open_request& request)
 {
@@ -138,7 +146,7 @@
          {"config", std::to_string(request.config->version)}});
 }
 
-void request_log::repeated(const open_request& request, std::string_view boot,
+void request_log::repeated(open_request& request, std::string_view boot,
                            attempt_end end, std::string_view why)
 {
     const std::string how(to_string(end));
@@ -149,6 +157,7 @@
          {"endpoint", std::string(boot)},
          {"end", how},
          {"why", std::string(why)},
+         {"content", to_string(request.content_key())},
          {"after_ms", ms_text(now() - request.profile.arrived)}});
 }
 
@@ -164,7 +173,7 @@
          {"after_ms", ms_text(now() - request.profile.arrived)}});
 }
 
-void request_log::ended(const open_request& request, std::string_view outcome,
+void request_log::ended(open_request& request, std::string_view outcome,
                         unsigned status)
 {
     ++context_.metrics.ended[std::string(outcome)];
@@ -184,6 +193,7 @@
                         {"outcome", std::string(outcome)},
                         {"why", text_or_none(request.stopped_by)},
                         {"not_repeated", text_or_none(request.not_repeated)},
+                        {"content", content_text(request)},
                         {"status", std::to_string(status)},
                         {"attempts", std::to_string(request.attempts)},
                         {"events", std::to_string(request.events.count())},
--- a/packages/adapters/lib/direct/request_log.hpp
+++ b/packages/adapters/lib/direct/request_log.hpp
@@ -22,13 +22,13 @@
     void placed(const open_request& request,
                 const core::direct::placement_decision& decided);
     /// The request goes to another endpoint after an attempt at `boot`.
-    void repeated(const open_request& request, std::string_view boot,
-                  attempt_end end, std::string_view why);
+    void repeated(open_request& request, std::string_view boot, attempt_end end,
+                  std::string_view why);
     /// No other endpoint took the request, so the attempt at `boot`, which was
     /// silent, goes on.
     void kept(const open_request& request, std::string_view boot);
     /// \param status of the final answer, 0 if it has none.
-    void ended(const open_request& request, std::string_view outcome,
+    void ended(open_request& request, std::string_view outcome,
                unsigned status);
 
   private:
--- a/packages/core/include/sycamorelock/core/direct/release.hpp
+++ b/packages/core/include/sycamorelock/core/direct/release.hpp
@@ -11,20 +11,6 @@
 namespace sycamorelock::core::direct
 {
 
-/// A 64-bit digest of a name, the same in every process.
-template <class Tag> class digest_id
-{
-  public:
-    constexpr digest_id() = default;
-    constexpr explicit digest_id(std::uint64_t value) : value_(value) {}
-
-    [[nodiscard]] constexpr std::uint64_t value() const { return value_; }
-    constexpr auto operator<=>(const digest_id&) const = default;
-
-  private:
-    std::uint64_t value_ = 0;
-};
-
 /// Identifies one software version of the endpoints of one service.
 using release_id = digest_id<struct release_tag>;
 /// Identifies a stream by the caller's attempt that started it and the client
@@ -46,13 +32,3 @@
 std::string bounded_version(std::string_view version);
 
 } // namespace sycamorelock::core::direct
-
-template <class Tag>
-struct std::hash<sycamorelock::core::direct::digest_id<Tag>>
-{
-    std::size_t
-    operator()(sycamorelock::core::direct::digest_id<Tag> id) const noexcept
-    {
-        return static_cast<std::size_t>(id.value());
-    }
-};
--- a/packages/core/include/sycamorelock/core/strong_types.hpp
+++ b/packages/core/include/sycamorelock/core/strong_types.hpp
@@ -42,6 +42,20 @@
 using endpoint_id = name_id<struct endpoint_tag>;
 using domain_id = name_id<struct domain_tag>;
 
+/// A 64-bit digest of a name, the same in every process.
+template <class Tag> class digest_id
+{
+  public:
+    constexpr digest_id() = default;
+    constexpr explicit digest_id(std::uint64_t value) : value_(value) {}
+
+    [[nodiscard]] constexpr std::uint64_t value() const { return value_; }
+    constexpr auto operator<=>(const digest_id&) const = default;
+
+  private:
+    std::uint64_t value_ = 0;
+};
+
 /// A number with a unit. Arithmetic stays within the unit.
 template <class Tag, class Rep> class quantity
 {
@@ -136,3 +150,11 @@
         return id.value();
     }
 };
+
+template <class Tag> struct std::hash<sycamorelock::core::digest_id<Tag>>
+{
+    std::size_t operator()(sycamorelock::core::digest_id<Tag> id) const noexcept
+    {
+        return static_cast<std::size_t>(id.value());
+    }
+};
