Failing tests: requests that crash the endpoints that execute them

Stand-in endpoints crash under a request: they close all connections, refuse new ones, and come back after 1.5 s at their address as another start, while the entry of the first one lapses after a second. A caller sends the request again and again to three instances.

--- /dev/null
+++ b/test/integration/crashes_test.cpp
@@ -0,0 +1,179 @@
+// Requests that crash the endpoints that execute them: how many endpoints they
+// end, and what becomes of other requests meanwhile.
+#include "direct_checks.hpp"
+
+#include <criterion/criterion.h>
+
+#include <future>
+#include <thread>
+
+using namespace standin;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+namespace
+{
+
+const std::string bad_body = "crashes its endpoint";
+/// Endpoints that may end under one request.
+constexpr std::size_t allowed_crashes = 3;
+/// Instances that can reach each other have learned of the crashes by then.
+constexpr seconds contact_time{3};
+
+direct_plan plan_of(std::size_t instances, std::size_t engines,
+                    std::size_t plain)
+{
+    direct_plan plan;
+    plan.instances = instances;
+    plan.engines = engines;
+    plan.plain = plain;
+    return plan;
+}
+
+crash_rule rule_before_event(long event)
+{
+    crash_rule rule;
+    rule.body = bad_body;
+    rule.before_event = event;
+    return rule;
+}
+
+direct_call bad_call(direct_fleet& fleet, std::size_t instance,
+                     const std::string& path = "/plan/x")
+{
+    direct_call made = fleet.make_call(instance, path);
+    made.body = bad_body;
+    made.time_left_ms = 1500;
+    return made;
+}
+
+/// A caller that sends the same request again and again, at one instance after
+/// the other.
+void insist(direct_fleet& fleet, const std::vector<std::size_t>& instances,
+            const std::string& path, seconds time)
+{
+    const auto until = steady_clock::now() + time;
+    while (steady_clock::now() < until)
+    {
+        for (const std::size_t instance : instances)
+        {
+            ask(bad_call(fleet, instance, path));
+            std::this_thread::sleep_for(milliseconds(100));
+        }
+    }
+}
+
+/// Checks that no endpoint has ended once instances could know of those that
+/// may.
+void check_crashes(const direct_fleet& fleet)
+{
+    const std::vector<endpoint_crash> all = fleet.crashes();
+    cr_assert_geq(all.size(), allowed_crashes);
+    const auto latest = all[allowed_crashes - 1].at + contact_time;
+    const auto late = std::count_if(all.begin(), all.end(),
+                                    [latest](const endpoint_crash& each)
+                                    { return each.at > latest; });
+    cr_expect_eq(late, 0, "%td of %zu crashes came later", late, all.size());
+}
+
+/// Waits until all endpoints are back and listed everywhere.
+void wait_for_endpoints(direct_fleet& fleet, std::size_t count)
+{
+    const std::string line = "sycamorelock_endpoints " + std::to_string(count);
+    cr_assert(eventually([&] { return fleet.that_say(line) > 0; }, seconds(8)));
+}
+
+} // namespace
+
+// Guards against BUDGET: a request is sent to further engines after three have
+// ended under it, by a caller that tries all instances.
+Test(crashes, a_request_that_crashes_engines_is_not_sent_on)
+{
+    direct_fleet fleet(plan_of(3, 8, 1));
+    fleet.set_crash(rule_before_event(1));
+    insist(fleet, {0, 1, 2}, "/plan/x", seconds(6));
+    check_crashes(fleet);
+}
+
+// Guards against BUDGET as above where the request crashes the engine in the
+// middle of the answer, so that it is repeated from its last event on.
+Test(crashes, a_stream_that_crashes_engines_midway_is_not_sent_on)
+{
+    direct_fleet fleet(plan_of(3, 8, 1));
+    fleet.set_crash(rule_before_event(3));
+    insist(fleet, {0, 1, 2}, "/plan/x", seconds(6));
+    check_crashes(fleet);
+}
+
+// Guards against BUDGET as above at endpoints without prompts.
+Test(crashes, a_request_that_crashes_plain_endpoints_is_not_sent_on)
+{
+    direct_fleet fleet(plan_of(3, 1, 8));
+    fleet.set_crash(rule_before_event(1));
+    insist(fleet, {0, 1, 2}, "/look/x", seconds(6));
+    check_crashes(fleet);
+}
+
+// Guards against BUDGET as above if the only instance that has seen the crashes
+// is killed, and comes back without memory.
+Test(crashes, the_other_instances_know_of_crashes_after_a_kill)
+{
+    direct_fleet fleet(plan_of(3, 8, 1));
+    fleet.set_crash(rule_before_event(1));
+    while (fleet.crashes().size() < allowed_crashes)
+    {
+        ask(bad_call(fleet, 0));
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    fleet.kill(fleet.at(0));
+    insist(fleet, {1, 2}, "/plan/x", seconds(2));
+    fleet.start(fleet.at(0));
+    fleet.wait_ready();
+    insist(fleet, {0}, "/plan/x", seconds(3));
+    check_crashes(fleet);
+}
+
+// Guards against failures of sound requests once the request that crashes
+// endpoints is known, and against their refusal.
+Test(crashes, sound_requests_are_served_beside_one_that_crashes_engines)
+{
+    direct_fleet fleet(plan_of(3, 8, 1));
+    fleet.set_crash(rule_before_event(1));
+    std::future<void> bad =
+        std::async(std::launch::async,
+                   [&] {
+                       insist(fleet, {0, 1, 2}, "/plan/x", seconds(5));
+                   });
+    struct sound_call
+    {
+        steady_clock::time_point sent;
+        std::future<direct_answer> answer;
+    };
+    std::vector<sound_call> sound;
+    for (int i = 0; i < 60; ++i)
+    {
+        direct_call call = fleet.make_call(static_cast<std::size_t>(i) % 3);
+        call.body = "sound " + std::to_string(i % 10);
+        sound.push_back(
+            {steady_clock::now(), std::async(std::launch::async, ask, call)});
+        std::this_thread::sleep_for(milliseconds(80));
+    }
+    bad.get();
+    const std::vector<endpoint_crash> crashes = fleet.crashes();
+    cr_assert_geq(crashes.size(), allowed_crashes);
+    const auto known_at = crashes[allowed_crashes - 1].at + contact_time;
+    std::size_t asked = 0;
+    std::size_t served = 0;
+    for (sound_call& each : sound)
+    {
+        const bool is_late = each.sent > known_at;
+        asked += is_late ? 1 : 0;
+        served += is_late && each.answer.get().status == 200 ? 1 : 0;
+    }
+    cr_expect_gt(asked, 0U);
+    cr_expect_eq(served, asked, "%zu of %zu", served, asked);
+    wait_for_endpoints(fleet, 9);
+    for (std::size_t instance = 0; instance < 3; ++instance)
+        cr_expect_eq(ask(fleet.make_call(instance)).status, 200U);
+}
--- a/test/standins/direct_engine.cpp
+++ b/test/standins/direct_engine.cpp
@@ -145,6 +145,64 @@
     return event == paused_event_ ? gap_ + pause_ : gap_;
 }
 
+void direct_engine::set_crash(const crash_rule& rule,
+                              std::function<void(const std::string&)> on_change)
+{
+    const std::lock_guard lock(mutex_);
+    crash_rule_ = rule;
+    on_crash_change_ = std::move(on_change);
+}
+
+std::vector<endpoint_crash> direct_engine::crashes() const
+{
+    const std::lock_guard lock(mutex_);
+    return crashes_;
+}
+
+bool direct_engine::crashes_under(const engine_run& run, long event) const
+{
+    const std::lock_guard lock(mutex_);
+    return crash_rule_ && event == crash_rule_->before_event &&
+           (crash_rule_->body.empty() || run.body == crash_rule_->body) &&
+           run.parts.find(crash_rule_->part) != std::string::npos;
+}
+
+void direct_engine::crash(const engine_run& run)
+{
+    if (is_down_)
+        return;
+    is_down_ = true;
+    std::string before;
+    {
+        const std::lock_guard lock(mutex_);
+        crashes_.push_back({run.attempt_id, std::chrono::steady_clock::now()});
+        before = boot_;
+    }
+    server_.crash();
+    on_crash_change_(before);
+    asio::co_spawn(runner_.context(), come_back(), asio::detached);
+}
+
+asio::awaitable<void> direct_engine::come_back()
+{
+    std::chrono::milliseconds downtime{0};
+    {
+        const std::lock_guard lock(mutex_);
+        downtime = crash_rule_->downtime;
+    }
+    co_await sleep_for(downtime);
+    std::string next;
+    {
+        const std::lock_guard lock(mutex_);
+        next = boot_.substr(0, boot_.find('/')) + '/' +
+               std::to_string(crashes_.size());
+    }
+    restart_as(next);
+    server_.listen_again();
+    is_down_ = false;
+    on_crash_change_({});
+}
+
 std::string direct_engine::version() const
 {
     const std::lock_guard lock(mutex_);
@@ -242,6 +300,11 @@
     {
         const std::chrono::milliseconds gap = gap_before(id);
         co_await sleep_for(gap);
+        if (crashes_under(run, id))
+        {
+            crash(run);
+            co_return false;
+        }
         // Named: GCC 12 frees temporaries of such calls twice.
         std::string bytes = event(run.attempt_id, id, padding);
         if (framed)
@@ -261,6 +324,7 @@
     engine_run run;
     run.attempt_id = std::string(asked["Attempt-Id"]);
     run.account = std::string(asked["Tenant"]);
+    run.parts = std::string(asked["Prefix-Hash"]);
     run.body = asked.body();
     run.target = std::string(asked.target());
     run.time_left_ms = number_of(asked, "Deadline-Ms");
@@ -324,6 +388,12 @@
     {
         const std::chrono::milliseconds gap = gap_before(0);
         co_await sleep_for(gap);
+        if (crashes_under(run, 1))
+        {
+            crash(run);
+            --working_;
+            co_return false;
+        }
         long left = 0;
         {
             const std::lock_guard lock(mutex_);
--- a/test/standins/direct_engine.hpp
+++ b/test/standins/direct_engine.hpp
@@ -5,7 +5,9 @@
 #include "http_server.hpp"
 
 #include <atomic>
+#include <functional>
 #include <mutex>
+#include <optional>
 #include <vector>
 
 namespace standin
@@ -42,10 +44,33 @@
     std::chrono::milliseconds rest{0};
 };
 
+/// Which requests crash an endpoint, and for how long it is down then. It comes
+/// back at its address as another start.
+struct crash_rule
+{
+    /// Body of the requests; empty for any.
+    std::string body;
+    /// Id of a part of their prompts; empty for any.
+    std::string part;
+    /// Event before which the endpoint crashes. Other answers than streams are
+    /// not begun.
+    long before_event = 1;
+    std::chrono::milliseconds downtime{1500};
+};
+
+/// A crash of an endpoint.
+struct endpoint_crash
+{
+    std::string attempt_id;
+    std::chrono::steady_clock::time_point at;
+};
+
 struct engine_run
 {
     std::string attempt_id;
     std::string account;
+    /// Parts of the prompt as the request names them.
+    std::string parts;
     std::string body;
     std::string target;
     long time_left_ms = 0;
@@ -70,6 +95,12 @@
     void set_fault(answer_fault fault, long cut_at = 0, int times = -1);
     /// Another start of the endpoint, which declines what is meant for the old.
     void restart_as(const std::string& boot);
+    /// Crashes under such requests from now on.
+    /// \param on_change called with the name of the start that has crashed, and
+    /// with an empty one when the endpoint is back. Thread of the endpoint.
+    void set_crash(const crash_rule& rule,
+                   std::function<void(const std::string&)> on_change);
+    [[nodiscard]] std::vector<endpoint_crash> crashes() const;
     /// Turns requests away and asks for rest, with this text; an empty one ends
     /// that.
     void set_rest(const std::string& retry_after);
@@ -94,6 +125,9 @@
     asio::awaitable<bool> stream_events(beast::tcp_stream& stream,
                                         const engine_run& run,
                                         answer_fault fault);
+    [[nodiscard]] bool crashes_under(const engine_run& run, long event) const;
+    void crash(const engine_run& run);
+    asio::awaitable<void> come_back();
     /// Header of an answer of its own to a request, up to its framing.
     [[nodiscard]] std::string header(const std::string& attempt_id,
                                      const char* status) const;
@@ -122,6 +156,10 @@
     std::chrono::milliseconds piece_gap_{0};
     int fault_times_ = 0;
     std::string answer_before_;
+    std::optional<crash_rule> crash_rule_;
+    std::function<void(const std::string&)> on_crash_change_;
+    std::vector<endpoint_crash> crashes_;
+    bool is_down_ = false;
     std::atomic<int> working_{0};
     background runner_;
     http_server server_;
--- a/test/standins/direct_fleet.cpp
+++ b/test/standins/direct_fleet.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
@@ -18,6 +19,8 @@
 {
 
 constexpr std::chrono::seconds ready_limit{15};
+/// Time from the crash of an endpoint until its entry in the store lapses.
+constexpr std::chrono::seconds entry_lapse{1};
 
 std::string entry(const std::string& address, const char* service,
                   const char* state, std::uint64_t born = 1,
@@ -143,8 +146,7 @@
         plain_.push_back(std::make_unique<direct_engine>(
             "127.0.0.1:0", "plain-" + std::to_string(i), 0, plan_.gap));
         add_route(plain_.back()->address());
-        store_->put("servers/plain-" + std::to_string(i),
-                    entry(route_of(*plain_.back()), "desk", "ready"));
+        list_plain(i);
     }
     for (std::size_t i = 0; i < plan_.instances; ++i)
     {
@@ -174,6 +176,9 @@
 {
     for (direct_instance& each : instances_)
         kill(each);
+    // Endpoints that come back use the other members.
+    engines_.clear();
+    plain_.clear();
     if (unread_pipe_ >= 0)
         close(unread_pipe_);
     std::filesystem::remove_all(directory_);
@@ -263,6 +268,60 @@
                       which.version()));
 }
 
+void direct_fleet::list_plain(std::size_t index)
+{
+    const direct_engine& which = *plain_.at(index);
+    store_->put("servers/" + which.boot(),
+                entry(route_of(which), "desk", "ready"));
+}
+
+void direct_fleet::set_crash(const crash_rule& rule)
+{
+    for (std::size_t i = 0; i < engines_.size(); ++i)
+        engines_[i]->set_crash(
+            rule, [this, i](const std::string& crashed)
+            { on_crash_change(crashed, [this, i] { list_engine(i); }); });
+    for (std::size_t i = 0; i < plain_.size(); ++i)
+        plain_[i]->set_crash(
+            rule, [this, i](const std::string& crashed)
+            { on_crash_change(crashed, [this, i] { list_plain(i); }); });
+}
+
+void direct_fleet::on_crash_change(const std::string& crashed,
+                                   const std::function<void()>& list)
+{
+    if (crashed.empty())
+    {
+        list();
+        return;
+    }
+    asio::co_spawn(
+        lapses_->context(),
+        [this, crashed]() -> asio::awaitable<void>
+        {
+            co_await sleep_for(entry_lapse);
+            store_->remove("servers/" + crashed);
+        },
+        asio::detached);
+}
+
+std::vector<endpoint_crash> direct_fleet::crashes() const
+{
+    std::vector<endpoint_crash> all;
+    for (const auto* kind : {&engines_, &plain_})
+    {
+        for (const auto& each : *kind)
+        {
+            const std::vector<endpoint_crash> own = each->crashes();
+            all.insert(all.end(), own.begin(), own.end());
+        }
+    }
+    std::sort(all.begin(), all.end(),
+              [](const endpoint_crash& one, const endpoint_crash& other)
+              { return one.at < other.at; });
+    return all;
+}
+
 void direct_fleet::drain(const std::string& domain)
 {
     store_->put("op/evacuate/" + domain, "now");
--- a/test/standins/direct_fleet.hpp
+++ b/test/standins/direct_fleet.hpp
@@ -7,6 +7,7 @@
 #include "process.hpp"
 #include "proxy.hpp"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -113,6 +114,11 @@
     void drain(const std::string& domain);
     void take_back(const std::string& domain);
     void unlist_engine(std::size_t index);
+    /// Engines and plain endpoints crash under such requests from now on. The
+    /// entry of a start that has crashed lapses a second later.
+    void set_crash(const crash_rule& rule);
+    /// Crashes of all endpoints, in order of time.
+    [[nodiscard]] std::vector<endpoint_crash> crashes() const;
     /// Publishes a configuration; accounts other than "north" by name.
     void publish(std::uint64_t version,
                  const std::set<std::string>& accounts = {});
@@ -135,6 +141,11 @@
 
   private:
     void add_route(const std::string& address);
+    void list_plain(std::size_t index);
+    /// Removes the entry of a start that has crashed, or lists the endpoint
+    /// again.
+    void on_crash_change(const std::string& crashed,
+                         const std::function<void()>& list);
 
     direct_plan plan_;
     std::string directory_;
@@ -144,6 +155,7 @@
     /// Routes of the proxy by the address that they lead to.
     std::map<std::string, std::string> routes_;
     std::vector<direct_instance> instances_;
+    std::unique_ptr<background> lapses_ = std::make_unique<background>();
     proxy proxy_;
     int next_id_ = 0;
     /// Read end of the pipe for unread logs, kept open.
--- a/test/standins/http_server.cpp
+++ b/test/standins/http_server.cpp
@@ -93,15 +93,33 @@
     : runner_(runner), acceptor_(runner.context()), answer_(std::move(answer))
 {
     const tcp::endpoint at = endpoint_of(address);
+    listen(at);
+    address_ = at.address().to_string() + ':' +
+               std::to_string(acceptor_.local_endpoint().port());
+}
+
+void http_server::listen(const tcp::endpoint& at)
+{
     acceptor_.open(at.protocol());
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(at);
     acceptor_.listen();
-    address_ = at.address().to_string() + ':' +
-               std::to_string(acceptor_.local_endpoint().port());
     asio::co_spawn(runner_.context(), accept_loop(), asio::detached);
 }
 
+void http_server::crash()
+{
+    error_code ignored;
+    acceptor_.close(ignored);
+    for (beast::tcp_stream* stream : open_)
+        stream->socket().close(ignored);
+}
+
+void http_server::listen_again()
+{
+    listen(endpoint_of(address_));
+}
+
 asio::awaitable<void> http_server::accept_loop()
 {
     for (;;)
@@ -120,16 +138,18 @@
 asio::awaitable<void> http_server::serve(beast::tcp_stream stream)
 {
     beast::flat_buffer buffer;
+    open_.insert(&stream);
     for (;;)
     {
         request asked;
         auto [error, bytes] =
             co_await http::async_read(stream, buffer, asked, as_result);
         if (error)
-            co_return;
+            break;
         if (!co_await answer_(stream, std::move(asked)))
-            co_return;
+            break;
     }
+    open_.erase(&stream);
 }
 
 asio::awaitable<bool> write(beast::tcp_stream& stream, response answer,
--- a/test/standins/http_server.hpp
+++ b/test/standins/http_server.hpp
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -77,7 +78,14 @@
     http_server(background& runner, const std::string& address, handler answer);
     [[nodiscard]] std::string address() const { return address_; }
 
+    /// Closes all connections and refuses new ones, as if the process had
+    /// crashed. Thread of the runner.
+    void crash();
+    /// Listens at the same address again. Thread of the runner.
+    void listen_again();
+
   private:
+    void listen(const tcp::endpoint& at);
     asio::awaitable<void> accept_loop();
     asio::awaitable<void> serve(beast::tcp_stream stream);
 
@@ -85,6 +93,7 @@
     tcp::acceptor acceptor_;
     handler answer_;
     std::string address_;
+    std::set<beast::tcp_stream*> open_;
 };
 
 asio::awaitable<bool> write(beast::tcp_stream& stream, response answer,
