Requests that crash endpoints are quarantined over all instances

A request under which three endpoints had ended went to further ones: each attempt of its caller is a new request, mostly at another instance, and nothing remembered what an endpoint was executing when it ended.

crash_tracker counts pairs of (content of the request, start of the endpoint). A broken connection only raises a suspicion. It counts once the endpoint has terminated: it refuses the connection that termination_check makes at once, or that of any later attempt, another start answers at its address, or its entry goes without a word of leaving. It is dropped, and withdrawn everywhere, when the same start answers a later request. A whole answer clears the request. The pairs are told at the next tick, relayed in large fleets, copied to instances that start, and told again after a cut; merging them is a union.

After three, the request is refused before it costs its account anything, before a repeat, and right before its first byte. After 30 s one instance of the fleet, chosen by rendezvous hashing, may send one as a probe, without a repeat; the delay at least doubles with each that ends its endpoint.

--- a/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
@@ -20,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 
 namespace sycamorelock::adapters::direct
 {
@@ -88,6 +89,12 @@
                          core::direct::stream_copy known);
     void learn_streams(core::direct::exchange_report copy);
     void use_streams(std::vector<core::direct::stream_note> told);
+    void use_crashes(std::vector<core::crash_note> notes);
+    /// Sends an instance that has started the evidence of requests that crash
+    /// endpoints.
+    void help_with_crashes(const core::direct::exchange_report& started);
+    void pass_crashes_to(const std::string& peer,
+                         std::vector<core::crash_note> known);
     void help_with_endpoints(const core::direct::exchange_report& behind);
     void use_store_view(const core::direct::exchange_report& report);
     void note_uptime(bool outage_ended);
@@ -140,6 +147,9 @@
     core::direct::exchange_tree tree_;
     core::direct::note_relay relay_;
     core::direct::stream_relay stream_relay_;
+    core::direct::crash_relay crash_relay_;
+    /// Other failure domains whose aggregators were known at the last report.
+    std::set<core::domain_id> reported_domains_;
     /// To which the own streams were told last.
     std::string aggregator_;
     /// What another failure domain's aggregator last told of engines.
@@ -155,6 +165,7 @@
     core::direct::cache_copies copies_;
     core::direct::copy_limiter caches_pace_;
     core::direct::copy_limiter streams_pace_;
+    core::direct::copy_limiter crashes_pace_;
     /// Starts of others to which the own streams were told once more.
     std::map<std::string, std::uint64_t> retold_to_;
     core::time_point next_gossip_;
--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
@@ -29,6 +29,8 @@
     std::uint64_t caller_connections = 0;
     std::uint64_t endpoint_connects = 0;
     std::uint64_t rests_asked = 0;
+    /// Connections made to find out whether an endpoint has terminated.
+    std::uint64_t termination_checks = 0;
     /// Attempts at silent endpoints that went on, as no other took the request.
     std::uint64_t kept = 0;
     std::uint64_t reports_sent = 0;
--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
@@ -74,6 +74,12 @@
                       std::function<void(core::direct::stream_copy)> done);
     /// Tells the others once more of the streams of this instance.
     void requeue_stream_reports();
+    /// Evidence of requests that crash endpoints, from other instances.
+    void on_crashes(std::vector<core::crash_note> notes);
+    /// Calls `done` on the traffic thread with all evidence known here.
+    void copy_crashes(std::function<void(std::vector<core::crash_note>)> done);
+    /// Reports all evidence known here once more.
+    void requeue_crash_reports();
     void forget_instance(core::instance_id gone);
     void set_fleet_size(std::size_t instances);
     void set_retries(double ratio, double slack);
--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -68,6 +68,7 @@
     endpoint_silent = 3007,
     stream_resumed = 3008,
     silent_endpoint_kept = 3009,
+    crash_evidence = 3010,
     endpoint_seen = 3101,
     endpoint_draining = 3102,
     endpoint_gone = 3103,
--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -205,6 +205,7 @@
         parse_address(placed_.endpoint.address), as_result);
     silence_.lift();
     has_shortage_ = is_local_shortage(error);
+    has_terminated_ = error == asio::error::connection_refused;
     if (error || abandoned_)
         co_return false;
     error_code ignored;
@@ -299,6 +300,12 @@
         ++context_.metrics.withheld[std::string(why_)];
         return false;
     }
+    if (request_.is_quarantined())
+    {
+        why_ = "quarantined";
+        ++context_.metrics.withheld[std::string(why_)];
+        return false;
+    }
     if (placed_.fetch && !context_.router.may_fetch(now(), *placed_.fetch))
         placed_.fetch.reset();
     return true;
@@ -458,6 +465,7 @@
     if (meta->wrong_endpoint)
     {
         why_ = "wrong_endpoint";
+        has_terminated_ = true;
         co_return attempt_end::wrong_endpoint;
     }
     if (meta->not_run)
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -64,6 +64,8 @@
     std::function<void()> sent;
     /// The endpoint has begun to answer, and has not declined or failed.
     std::function<void()> taken;
+    /// Whether the request must not be sent because endpoints crash under it.
+    std::function<bool()> is_quarantined;
 };
 
 class attempt
@@ -98,6 +100,9 @@
     [[nodiscard]] std::string_view why() const { return why_; }
     /// Whether this process had nothing left for a connection.
     [[nodiscard]] bool has_shortage() const { return has_shortage_; }
+    /// Whether the endpoint is known to have terminated: its address refuses
+    /// connections, or another one has it.
+    [[nodiscard]] bool has_terminated() const { return has_terminated_; }
     /// When the first event, or a whole answer, came; zero if none did.
     [[nodiscard]] core::time_point first_at() const { return first_at_; }
     /// Longest pause between two events.
@@ -180,6 +185,7 @@
     bool abandoned_ = false;
     /// This process had nothing left for a connection.
     bool has_shortage_ = false;
+    bool has_terminated_ = false;
     bool silent_ = false;
     bool waits_ = false;
     /// An answer to an earlier request is being read.
--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -10,6 +10,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+
 namespace sycamorelock::adapters::direct
 {
 
@@ -122,7 +124,10 @@
         // Whoever was away has missed what was told meanwhile. In a large fleet
         // it asks for a copy.
         if (live > live_ && !peers_.large(at))
+        {
             traffic_.requeue_stream_reports();
+            traffic_.requeue_crash_reports();
+        }
         live_ = live;
         traffic_.set_fleet_size(live + 1);
     }
@@ -142,6 +147,8 @@
     report.notes.clear();
     stream_relay_.add_own(std::move(report.streams));
     report.streams.clear();
+    crash_relay_.add_own(std::move(report.crashes));
+    report.crashes.clear();
     exchange_in_tree(at, std::move(report));
 }
 
@@ -171,10 +178,14 @@
         peers_.aggregator(at, core::domain_id::of(settings_.domain));
     own.notes = relay_.take_own();
     own.streams = stream_relay_.take_own();
+    own.crashes = crash_relay_.take_own();
     choose_reader(at, aggregator.empty());
     // What the one before was told last may have ended with it.
     if (aggregator != aggregator_)
+    {
         traffic_.requeue_stream_reports();
+        traffic_.requeue_crash_reports();
+    }
     aggregator_ = aggregator;
     if (!aggregator.empty())
     {
@@ -207,11 +218,19 @@
     other.demands = std::move(sum.demands);
     other.notes = relay_.take_domain();
     other.streams = stream_relay_.take_domain();
-    for (const core::domain_id domain : peers_.other_domains(at))
+    other.crashes = crash_relay_.take_domain();
+    const std::set<core::domain_id> domains = peers_.other_domains(at);
+    for (const core::domain_id domain : domains)
         tell(at, other, {peers_.aggregator(at, domain)});
+    // A failure domain that was cut off has missed reports.
+    if (!std::includes(reported_domains_.begin(), reported_domains_.end(),
+                       domains.begin(), domains.end()))
+        traffic_.requeue_crash_reports();
+    reported_domains_ = domains;
     other.part = report_part::rest;
     other.notes = relay_.take_all();
     other.streams = stream_relay_.take_all();
+    other.crashes = crash_relay_.take_all();
     const core::direct::store_view view = confirmed_store_view(at);
     for (const std::string& member : tree_.members(at))
     {
@@ -249,6 +268,12 @@
         traffic_.on_streams(std::move(told));
 }
 
+void control_plane::use_crashes(std::vector<core::crash_note> notes)
+{
+    if (!notes.empty())
+        traffic_.on_crashes(std::move(notes));
+}
+
 void control_plane::take(exchange_report report)
 {
     using core::direct::report_part;
@@ -268,6 +293,8 @@
         use_notes(std::move(report.notes));
         stream_relay_.add_member(report.streams);
         use_streams(std::move(report.streams));
+        crash_relay_.add_member(report.crashes);
+        use_crashes(std::move(report.crashes));
         break;
     case report_part::domain:
         knowledge_.confirm(at, report.store);
@@ -278,12 +305,15 @@
         use_notes(std::move(report.notes));
         stream_relay_.add_domain(report.streams);
         use_streams(std::move(report.streams));
+        crash_relay_.add_domain(report.crashes);
+        use_crashes(std::move(report.crashes));
         break;
     case report_part::rest:
         use_rest({std::move(report.work), std::move(report.demands)},
                  std::move(report.figures));
         use_notes(std::move(report.notes));
         use_streams(std::move(report.streams));
+        use_crashes(std::move(report.crashes));
         break;
     case report_part::none:
     case report_part::copy:
@@ -314,6 +344,9 @@
     if (!report.warming.empty())
         traffic_.on_warming(report.warming);
     // A copy for an instance that is behind holds nothing else.
+    if (report.part == core::direct::report_part::copy &&
+        !report.crashes.empty())
+        return use_crashes(std::move(report.crashes));
     if (report.part == core::direct::report_part::copy)
         return report.releases ? learn_streams(std::move(report))
                                : learn_caches(std::move(report));
@@ -322,6 +355,7 @@
     help_with_endpoints(report);
     help_with_caches(report);
     help_with_streams(report);
+    help_with_crashes(report);
     take(std::move(report));
 }
 
@@ -372,6 +406,9 @@
     single(out, "stream_news_dropped_total", "counter",
            "News of streams that was left out of a round of reports.",
            stream_relay_.dropped());
+    single(out, "crash_news_dropped_total", "counter",
+           "Evidence of crashes that was left out of a round of reports.",
+           crash_relay_.dropped());
     single(out, "store_followed", "gauge",
            "Whether this instance reads the store itself.",
            std::uint64_t{store_.following() ? 1U : 0U});
--- a/packages/adapters/lib/direct/control_plane_help.cpp
+++ b/packages/adapters/lib/direct/control_plane_help.cpp
@@ -144,6 +144,29 @@
         });
 }
 
+void control_plane::help_with_crashes(const exchange_report& started)
+{
+    if (!started.wants_streams || !crashes_pace_.allow(now(), started.sender))
+        return;
+    traffic_.copy_crashes(
+        [this, peer = started.sender](std::vector<core::crash_note> known)
+        {
+            boost::asio::post(io_,
+                              [this, peer, known = std::move(known)]() mutable
+                              { pass_crashes_to(peer, std::move(known)); });
+        });
+}
+
+void control_plane::pass_crashes_to(const std::string& peer,
+                                    std::vector<core::crash_note> known)
+{
+    if (known.empty())
+        return;
+    exchange_report copy = copy_at(now());
+    copy.crashes = std::move(known);
+    tell(now(), copy, {peer});
+}
+
 void control_plane::pass_streams_to(const std::string& peer,
                                     core::direct::stream_copy known)
 {
--- a/packages/adapters/lib/direct/open_request.hpp
+++ b/packages/adapters/lib/direct/open_request.hpp
@@ -45,6 +45,9 @@
     /// it; empty if that did not happen.
     std::string_view stopped_by;
     std::string_view not_repeated;
+    /// It is quarantined and sent once, to find out whether endpoints still
+    /// crash under it.
+    bool is_probe = false;
     event_splitter events;
     /// Set by the first call of `content_key`.
     std::optional<core::crash_key> known_content_key;
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -2,6 +2,7 @@
 #include "request_session.hpp"
 
 #include "message_reading.hpp"
+#include "termination_check.hpp"
 
 #include "../socket_state.hpp"
 
@@ -346,11 +347,59 @@
         profile.arrived +
         std::min(request.meta.time_left.value_or(route_config->timeout),
                  route_config->timeout);
+    // Before it counts towards the account's demand.
+    if (co_await refuse_if_quarantined(request))
+        co_return false;
     context_.router.admit(profile.arrived, profile);
     request.set_service(context_.router.pick_service(*route_config));
     co_return true;
 }
 
+asio::awaitable<bool>
+request_session::refuse_if_quarantined(open_request& request)
+{
+    using admission = core::crash_tracker::admission;
+    core::crash_tracker& crashes = context_.router.crashes();
+    if (crashes.empty())
+        co_return false;
+    const core::crash_key key = request.content_key();
+    const admission decided = crashes.admit(now(), key);
+    request.is_probe = decided == admission::probe;
+    if (decided != admission::refused)
+        co_return false;
+    co_await answer_refusal(request,
+                            context_.router.refuse_quarantined(now(), key));
+    co_return true;
+}
+
+bool request_session::is_quarantined(open_request& request) const
+{
+    const core::crash_tracker& crashes = context_.router.crashes();
+    return !crashes.empty() && crashes.is_quarantined(request.content_key());
+}
+
+void request_session::note_crash_evidence(open_request& request,
+                                          const placed_attempt& which)
+{
+    const attempt& tried = *which.tried;
+    if (tried.has_terminated())
+        context_.router.note_terminated(now(),
+                                        which.placed.request_load.endpoint);
+    const bool has_broken =
+        which.end == attempt_end::failed || which.end == attempt_end::broken;
+    if (has_broken && !tried.is_silent())
+    {
+        context_.router.suspect_crash(now(), which.placed,
+                                      request.content_key());
+        context_.terminations.start(which.placed.endpoint);
+    }
+    const bool is_whole =
+        which.end == attempt_end::complete || which.end == attempt_end::held;
+    if (is_whole && tried.status() < first_server_error &&
+        !context_.router.crashes().empty())
+        context_.router.note_executed(now(), request.content_key());
+}
+
 asio::awaitable<void> request_session::reject(const open_request& request,
                                               http::status status,
                                               std::string_view reason,
@@ -415,12 +464,15 @@
             context_.limits.set(waiting_limit_, now() + overlap_time,
                                 [this] { give_up_waiting(); });
     };
-    open->tried.emplace(context_,
-                        attempt_request{request.message, request.meta,
-                                        request.profile, request.account_name,
-                                        std::move(secure_next), sent,
-                                        [this] { give_up_waiting(); }},
-                        open->placed, out_, request.events);
+    open->tried.emplace(
+        context_,
+        attempt_request{request.message, request.meta, request.profile,
+                        request.account_name, std::move(secure_next), sent,
+                        [this] { give_up_waiting(); },
+                        [this, &request] {
+                            return !request.is_probe && is_quarantined(request);
+                        }},
+        open->placed, out_, request.events);
     return open;
 }
 
@@ -435,6 +487,7 @@
     else
         which.end = co_await tried.run();
     attempt_ = nullptr;
+    note_crash_evidence(request, which);
     streams_.tried(request, which.placed);
     if (request.first == core::time_point())
         request.first = tried.first_at();
@@ -529,6 +582,8 @@
         return none("not_repeatable");
     if (after == attempt_end::broken && !route_config.resumable)
         return none("not_resumable");
+    if (request.is_probe || is_quarantined(request))
+        return none(to_string(refusal::quarantined));
     auto decided = context_.router.decide(now(), request.profile,
                                           request.service, request.tried, true);
     if (const auto* refused = std::get_if<refusal_decision>(&decided))
@@ -585,6 +640,12 @@
         log_.ended(request, to_string(last), 502);
         co_return;
     }
+    if (is_quarantined(request))
+    {
+        co_await answer_refusal(request, context_.router.refuse_quarantined(
+                                             now(), request.content_key()));
+        co_return;
+    }
     const auto rest = context_.router.backoff_delay(now(), request.service);
     co_await answer_problem(http::status::service_unavailable, to_string(last),
                             rest.value_or(soon));
--- a/packages/adapters/lib/direct/request_session.hpp
+++ b/packages/adapters/lib/direct/request_session.hpp
@@ -72,6 +72,16 @@
     /// Where a request goes whose attempt has ended without a final answer.
     [[nodiscard]] std::optional<core::direct::placement_decision>
     next_of(open_request& request, const placed_attempt& which);
+    /// Refuses a request under which endpoints crash; returns whether it is
+    /// refused.
+    asio::awaitable<bool> refuse_if_quarantined(open_request& request);
+    /// Whether further attempts must not be made because endpoints crash under
+    /// the request.
+    [[nodiscard]] bool is_quarantined(open_request& request) const;
+    /// Tells the router what the attempt shows of its endpoint: whether it may
+    /// have crashed.
+    void note_crash_evidence(open_request& request,
+                             const placed_attempt& which);
     /// Answers a request that no endpoint can go on with.
     asio::awaitable<void> give_up(open_request& request, placed_attempt& last);
     void give_up_waiting();
--- /dev/null
+++ b/packages/adapters/lib/direct/termination_check.cpp
@@ -0,0 +1,68 @@
+// A check ends with the connection or at its time limit.
+#include "termination_check.hpp"
+
+#include "sycamorelock/adapters/clocks.hpp"
+
+namespace sycamorelock::adapters::direct
+{
+
+namespace
+{
+
+/// Endpoints that have terminated refuse connections within a round trip.
+constexpr milliseconds check_timeout{250};
+/// How long a connection that a check has established may stay idle.
+constexpr milliseconds unused_idle_time{2000};
+
+} // namespace
+
+struct termination_check::pending_check
+{
+    explicit pending_check(asio::io_context& io)
+        : channel(std::make_unique<endpoint_channel>(io))
+    {
+    }
+
+    std::unique_ptr<endpoint_channel> channel;
+    watchdog::limit limit;
+    core::endpoint_id endpoint;
+};
+
+void termination_check::start(const core::direct::endpoint_record& endpoint)
+{
+    const core::endpoint_id id = endpoint.id();
+    if (!running_.insert(id).second)
+        return;
+    auto check = std::make_shared<pending_check>(context_.io);
+    check->endpoint = id;
+    ++context_.metrics.termination_checks;
+    context_.limits.set(check->limit, now() + check_timeout,
+                        [pending = std::weak_ptr(check)]
+                        {
+                            const auto open = pending.lock();
+                            if (!open)
+                                return;
+                            error_code ignored;
+                            open->channel->socket.close(ignored);
+                        });
+    check->channel->socket.async_connect(parse_address(endpoint.address),
+                                         [this, check](error_code error)
+                                         { finish(check, error); });
+}
+
+void termination_check::finish(const std::shared_ptr<pending_check>& check,
+                               error_code error)
+{
+    check->limit.lift();
+    running_.erase(check->endpoint);
+    if (error == asio::error::connection_refused)
+        context_.router.note_terminated(now(), check->endpoint);
+    if (error)
+        return;
+    error_code ignored;
+    check->channel->socket.set_option(tcp::no_delay(true), ignored);
+    check->channel->idle_until = now() + unused_idle_time;
+    context_.channels.give(check->endpoint, std::move(check->channel));
+}
+
+} // namespace sycamorelock::adapters::direct
--- a/packages/adapters/lib/direct/traffic_context.hpp
+++ b/packages/adapters/lib/direct/traffic_context.hpp
@@ -35,6 +35,8 @@
     std::atomic<core::duration::rep> current_at_{0};
 };
 
+class termination_check;
+
 struct traffic_context
 {
     boost::asio::io_context& io;
@@ -53,6 +55,7 @@
     /// So many callers are connected that answers end their connection.
     const bool& crowded;
     const news_age& endpoint_news;
+    termination_check& terminations;
 };
 
 } // namespace sycamorelock::adapters::direct
--- a/packages/adapters/lib/direct/traffic_metrics.cpp
+++ b/packages/adapters/lib/direct/traffic_metrics.cpp
@@ -39,6 +39,9 @@
            caller_connections);
     single(out, "endpoint_connects_total", "counter",
            "Connections opened to endpoints.", endpoint_connects);
+    single(out, "termination_checks_total", "counter",
+           "Connections made to find out whether an endpoint has terminated.",
+           termination_checks);
     single(out, "endpoint_rests_total", "counter",
            "Answers of endpoints that asked for rest.", rests_asked);
     single(out, "silent_endpoints_kept_total", "counter",
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -2,6 +2,7 @@
 #include "sycamorelock/adapters/direct/traffic_plane.hpp"
 
 #include "request_session.hpp"
+#include "termination_check.hpp"
 
 #include "../drain_limits.hpp"
 #include "../listener.hpp"
@@ -53,8 +54,9 @@
         : io_(io), address_(parse_address(settings.caller_address)),
           dialect_(dialect), on_report_(std::move(on_report)),
           router_(router_options_of(settings, seed)),
-          context_{io_,      router_,  channels_, limits_,  metrics_, log,
-                   dialect_, leaving_, closing_,  ends_at_, crowded_, news_},
+          context_{io_,      router_,  channels_,    limits_,  metrics_,
+                   log,      dialect_, leaving_,     closing_, ends_at_,
+                   crowded_, news_,    terminations_},
           timer_(io_),
           crowded_at_(part_of(settings.max_descriptors, crowded_part)),
           full_at_(part_of(settings.max_descriptors, full_part)),
@@ -149,6 +151,16 @@
         single(out, "streams_dropped_total", "counter",
                "Streams forgotten before their time, as there were too many.",
                router_.streams().dropped());
+        single(out, "requests_quarantined", "gauge",
+               "Requests that are refused because endpoints crash under them.",
+               std::uint64_t{router_.crashes().quarantined()});
+        single(out, "crash_keys", "gauge",
+               "Requests for which crashes of endpoints are remembered.",
+               std::uint64_t{router_.crashes().keys()});
+        single(out, "crash_keys_dropped_total", "counter",
+               "Such requests forgotten before their time, as there were too "
+               "many.",
+               router_.crashes().dropped());
         single(out, "endpoint_news_age_seconds", "gauge",
                "Age of what is known of endpoints.",
                std::chrono::duration<double>(news_.at(now())).count());
@@ -164,6 +176,11 @@
     /// Any thread.
     [[nodiscard]] bool late() const { return delay_.is_late(now()); }
 
+    void on_crashes(const std::vector<core::crash_note>& notes)
+    {
+        router_.crashes().add_remote(now(), notes);
+    }
+
     void on_cache_notes(const std::vector<core::direct::cache_note>& notes)
     {
         router_.on_cache_notes(now(), notes);
@@ -225,12 +242,30 @@
              {"connections", std::to_string(sessions_.size())}});
     }
 
+    void log_crashes()
+    {
+        for (const core::crash_event& each : router_.crashes().take_events())
+            context_.log.write(
+                direct_event::crash_evidence,
+                {{"change", std::string(to_string(each.what))},
+                 {"content", to_string(each.key)},
+                 {"endpoint_id", std::to_string(each.endpoint.value())},
+                 {"endpoint", router_.name_of(each.endpoint)},
+                 {"crashes", std::to_string(each.crashes)},
+                 {"age_ms",
+                  std::to_string(
+                      std::chrono::duration_cast<milliseconds>(each.age)
+                          .count())},
+                 {"source", each.is_remote ? "peer" : "own"}});
+    }
+
     void tick()
     {
         const core::time_point at = now();
         if (delay_.tick(at))
             tell_delay(at);
         limits_.tick(at);
+        log_crashes();
         router_.set_endpoints_current(at, at - news_.at(at));
         crowded_ = sessions_.size() > crowded_at_;
         if (sessions_.size() > full_at_)
@@ -274,6 +309,7 @@
     core::time_point ends_at_ = core::time_point::max();
     bool crowded_ = false;
     news_age news_;
+    termination_check terminations_{context_};
     traffic_context context_;
     listener_metrics listener_metrics_{"caller"};
     std::shared_ptr<listener<impl>> listener_;
@@ -396,6 +432,25 @@
                });
 }
 
+void traffic_plane::on_crashes(std::vector<core::crash_note> notes)
+{
+    asio::post(impl_->io(), [impl = impl_, notes = std::move(notes)]
+               { impl->on_crashes(notes); });
+}
+
+void traffic_plane::copy_crashes(
+    std::function<void(std::vector<core::crash_note>)> done)
+{
+    asio::post(impl_->io(), [impl = impl_, done = std::move(done)]
+               { done(impl->router().crashes().copy(now())); });
+}
+
+void traffic_plane::requeue_crash_reports()
+{
+    asio::post(impl_->io(), [impl = impl_]
+               { impl->router().crashes().requeue_reports(now()); });
+}
+
 void traffic_plane::requeue_stream_reports()
 {
     asio::post(impl_->io(),
--- a/packages/core/include/sycamorelock/core/direct/exchange.hpp
+++ b/packages/core/include/sycamorelock/core/direct/exchange.hpp
@@ -2,6 +2,7 @@
 // them.
 #pragma once
 
+#include "sycamorelock/core/crash_tracker.hpp"
 #include "sycamorelock/core/direct/account_shares.hpp"
 #include "sycamorelock/core/direct/drained_domains.hpp"
 #include "sycamorelock/core/direct/endpoint_registry.hpp"
@@ -109,7 +110,8 @@
 };
 
 /// Periodic report of one instance. `work` and `demands` are complete states;
-/// `notes` and `streams` contain only what was added since the previous report.
+/// `notes`, `streams` and `crashes` contain only what was added since the
+/// previous report.
 struct exchange_report
 {
     std::string sender;
@@ -142,6 +144,8 @@
     /// The sender's release history; set only in a copy, together with
     /// `streams`.
     std::optional<release_history> releases;
+    /// Evidence of requests that crash endpoints.
+    std::vector<crash_note> crashes;
 };
 
 } // namespace sycamorelock::core::direct
--- a/packages/core/include/sycamorelock/core/direct/note_relay.hpp
+++ b/packages/core/include/sycamorelock/core/direct/note_relay.hpp
@@ -1,6 +1,6 @@
-// Relays notes about cached prefixes and streams through a large fleet: from
-// members to their aggregator, between aggregators, and from each aggregator to
-// its members.
+// Relays notes about cached prefixes, streams and crashes through a large
+// fleet: from members to their aggregator, between aggregators, and from each
+// aggregator to its members.
 #pragma once
 
 #include "sycamorelock/core/direct/exchange.hpp"
@@ -64,7 +64,11 @@
 /// appears: 1,200 start per second and last some ten seconds.
 using stream_relay = relay<stream_note, 20'000>;
 
+/// Holds all evidence that an instance keeps about a few hundred keys.
+using crash_relay = relay<crash_note, 4096>;
+
 extern template class relay<cache_note, note_relay::max_notes>;
 extern template class relay<stream_note, stream_relay::max_notes>;
+extern template class relay<crash_note, crash_relay::max_notes>;
 
 } // namespace sycamorelock::core::direct
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -3,6 +3,7 @@
 // all instances exchange.
 #pragma once
 
+#include "sycamorelock/core/crash_tracker.hpp"
 #include "sycamorelock/core/direct/account_shares.hpp"
 #include "sycamorelock/core/direct/catalogue.hpp"
 #include "sycamorelock/core/direct/endpoint_health.hpp"
@@ -86,6 +87,8 @@
     /// This instance is shutting down and may exit before the request
     /// completes.
     instance_shutting_down,
+    /// Several endpoints have crashed under the request.
+    quarantined,
 };
 std::string_view to_string(refusal reason);
 
@@ -214,10 +217,7 @@
     void set_drained(time_point now, const std::set<domain_id>& domains,
                      std::span<const domain_drain> ended);
     /// Sets the other instances that may send requests.
-    void set_members(time_point now, const std::vector<fleet_member>& members)
-    {
-        warmup_allowances_.set_members(now, members);
-    }
+    void set_members(time_point now, const std::vector<fleet_member>& members);
     /// Processes another instance's notices of warming endpoints.
     void on_warming(time_point now, std::span<const warming_notice> notices);
     void set_warmup_bounds(warmup_bounds bounds) { options_.warmup = bounds; }
@@ -229,6 +229,14 @@
         return endpoints_.contains(endpoint);
     }
     [[nodiscard]] bool has_endpoints() const { return !endpoints_.empty(); }
+    /// Name of one start of an endpoint as its entry has it; empty if it is not
+    /// listed.
+    [[nodiscard]] std::string name_of(endpoint_id endpoint) const
+    {
+        const auto found = endpoints_.find(endpoint);
+        return found == endpoints_.end() ? std::string()
+                                         : found->second.record.boot;
+    }
 
     /// Registers a new request: credits the retry budgets of its services and
     /// stores the standing of the client account in `request`.
@@ -313,6 +321,20 @@
     }
     [[nodiscard]] const stream_releases& streams() const { return streams_; }
 
+    /// Records that the connection of an attempt broke before the response was
+    /// complete. Counts as a crash once the endpoint is known to have
+    /// terminated.
+    void suspect_crash(time_point now, const placement_decision& placement,
+                       crash_key key);
+    /// Records that an endpoint has terminated.
+    void note_terminated(time_point now, endpoint_id endpoint);
+    /// Records that an endpoint executed a request and did not crash.
+    void note_executed(time_point now, crash_key key);
+    /// Refuses a quarantined request.
+    refusal_decision refuse_quarantined(time_point now, crash_key key);
+    [[nodiscard]] crash_tracker& crashes() { return crashes_; }
+    [[nodiscard]] const crash_tracker& crashes() const { return crashes_; }
+
     /// Takes one retry from the budget; returns false if the budget is
     /// exhausted.
     bool spend_retry(service_id service);
@@ -627,7 +649,9 @@
     std::map<service_id, retry_budget> budgets_;
     std::vector<cache_note> unsent_cache_notes_;
     stream_releases streams_;
-    /// A long prompt or an urgent stream note is waiting for the next report.
+    crash_tracker crashes_;
+    /// A long prompt, an urgent stream note or evidence of a crash is waiting
+    /// for the next report.
     bool report_is_urgent_ = false;
     /// Largest number of instances seen.
     std::size_t fleet_size_ = 0;
--- a/packages/core/lib/direct/note_relay.cpp
+++ b/packages/core/lib/direct/note_relay.cpp
@@ -67,5 +67,6 @@
 
 template class relay<cache_note, note_relay::max_notes>;
 template class relay<stream_note, stream_relay::max_notes>;
+template class relay<crash_note, crash_relay::max_notes>;
 
 } // namespace sycamorelock::core::direct
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -75,6 +75,8 @@
         return "release_gone";
     case refusal::instance_shutting_down:
         return "instance_ends";
+    case refusal::quarantined:
+        return "quarantined";
     }
     return "unknown";
 }
@@ -101,10 +103,21 @@
 
 router::router(router_options options)
     : options_(options), random_(options.seed),
-      warmup_allowances_(options.self, options.domain, options.domains)
+      warmup_allowances_(options.self, options.domain, options.domains),
+      crashes_(options.self)
 {
 }
 
+void router::set_members(time_point now,
+                         const std::vector<fleet_member>& members)
+{
+    warmup_allowances_.set_members(now, members);
+    std::vector<instance_id> instances;
+    for (const fleet_member& each : members)
+        instances.push_back(each.instance);
+    crashes_.set_members(std::move(instances));
+}
+
 void router::install(time_point now, std::shared_ptr<const catalogue> newer)
 {
     update_stream_routes(now, *newer);
@@ -244,6 +257,8 @@
             cache_.forget(id);
             fetch_links_.forget(id);
             slow_start_.note_unlisted(now, id);
+            if (!state.is_leaving())
+                note_terminated(now, id);
         }
     }
     endpoints_ = std::move(next);
@@ -354,6 +369,7 @@
                          placement_decision& placement, time_point sent)
 {
     ledger_.begin(placement.request_load);
+    crashes_.note_response(now, placement.request_load.endpoint, sent);
     const double observed_first_token_ms = to_ms(now - sent);
     const auto found = endpoints_.find(placement.request_load.endpoint);
     if (found != endpoints_.end())
@@ -430,6 +446,7 @@
     account_shares_.report(now, from, report.demands);
     on_cache_notes(now, report.notes);
     on_streams(now, report.streams);
+    crashes_.add_remote(now, report.crashes);
     for (const service_figures& received : report.figures)
     {
         const auto known = estimators_.find(received.service);
@@ -523,6 +540,7 @@
     unsent_cache_notes_.clear();
     report.demands = account_shares_.own(now);
     report.streams = streams_.take_unreported(now);
+    report.crashes = crashes_.take_unreported(now);
     report.wants_streams = streams_.wants_streams(now);
     report.wants_releases = streams_.wants_releases(now);
     report.warming.clear();
--- a/packages/wire/lib/exchange_codec.cpp
+++ b/packages/wire/lib/exchange_codec.cpp
@@ -226,6 +226,30 @@
                                 std::chrono::milliseconds(item.age_ms())});
 }
 
+void encode_crashes(const direct::exchange_report& report,
+                    pb::ExchangeReport& out)
+{
+    for (const core::crash_note& note : report.crashes)
+    {
+        pb::CrashNews& item = *out.add_crashes();
+        item.set_key(note.key.value());
+        item.set_endpoint(note.endpoint.value());
+        item.set_age_ms(ms_of(note.age));
+        item.set_evidence(static_cast<std::uint32_t>(note.evidence));
+    }
+}
+
+core::crash_note decode_crash(const pb::CrashNews& item)
+{
+    constexpr auto last =
+        static_cast<std::uint32_t>(core::crash_evidence::survived);
+    if (item.evidence() > last)
+        throw decode_error("an unknown kind of evidence");
+    return {static_cast<core::crash_evidence>(item.evidence()),
+            core::crash_key(item.key()), core::endpoint_id(item.endpoint()),
+            std::chrono::milliseconds(item.age_ms())};
+}
+
 int count_streams(const pb::ExchangeReport& message)
 {
     int count = 0;
@@ -243,6 +267,7 @@
                           message.figures_size() > max_items ||
                           message.warming_size() > max_items ||
                           count_streams(message) > max_items ||
+                          message.crashes_size() > max_items ||
                           message.releases().seen_size() > max_items ||
                           message.store().endpoints_size() > max_items ||
                           message.store().drains_size() > max_items;
@@ -303,6 +328,7 @@
         item.set_left_ms(ms_of(each.left));
     }
     encode_streams(report, out);
+    encode_crashes(report, out);
     encode_store(report.store, *out.mutable_store());
     std::string bytes = out.SerializeAsString();
     const message_tag tag = make_tag(bytes, key);
@@ -355,6 +381,8 @@
                                   item.revision(),
                                   std::chrono::milliseconds(item.left_ms())});
     decode_streams(message, report);
+    for (const pb::CrashNews& item : message.crashes())
+        report.crashes.push_back(decode_crash(item));
     report.store = decode_store(message.store());
     return report;
 }
--- a/packages/wire/unittests/exchange_codec_test.cpp
+++ b/packages/wire/unittests/exchange_codec_test.cpp
@@ -154,6 +154,35 @@
     cr_expect_not(back_and_forth({}).wants_releases);
 }
 
+Test(exchange_codec, evidence_of_crashes_comes_out_as_it_went_in)
+{
+    using std::chrono::milliseconds;
+    core::direct::exchange_report sent;
+    sent.crashes = {
+        {core::crash_evidence::crashed, core::crash_key(91),
+         core::endpoint_id::of("e"), milliseconds(1200)},
+        {core::crash_evidence::succeeded,
+         core::crash_key(92),
+         {},
+         milliseconds(0)},
+        {core::crash_evidence::survived,
+         {},
+         core::endpoint_id::of("f"),
+         milliseconds(30)},
+    };
+    cr_expect(back_and_forth(sent).crashes == sent.crashes);
+}
+
+Test(exchange_codec, an_unknown_kind_of_crash_evidence_is_refused)
+{
+    core::direct::exchange_report sent;
+    sent.crashes = {{static_cast<core::crash_evidence>(3),
+                     core::crash_key(1),
+                     core::endpoint_id::of("e"),
+                     {}}};
+    cr_expect_throw(back_and_forth(sent), wire::decode_error);
+}
+
 // Guards against news of streams that fills the links of a large fleet.
 Test(exchange_codec, a_stream_takes_eight_bytes_beside_its_release)
 {
