--- a/test/integration/crashes_test.cpp
+++ b/test/integration/crashes_test.cpp
@@ -1,6 +1,7 @@
 // Requests that crash the endpoints that execute them: how many endpoints they
 // end, and what becomes of other requests meanwhile.
 #include "direct_checks.hpp"
+#include "fleet.hpp"
 
 #include <criterion/criterion.h>
 
@@ -66,17 +67,77 @@
 
 /// Checks that no endpoint has ended once instances could know of those that
 /// may.
-void check_crashes(const direct_fleet& fleet)
+void check_times(const std::vector<steady_clock::time_point>& all)
 {
-    const std::vector<endpoint_crash> all = fleet.crashes();
     cr_assert_geq(all.size(), allowed_crashes);
-    const auto latest = all[allowed_crashes - 1].at + contact_time;
+    const auto latest = all[allowed_crashes - 1] + contact_time;
     const auto late = std::count_if(all.begin(), all.end(),
-                                    [latest](const endpoint_crash& each)
-                                    { return each.at > latest; });
+                                    [latest](steady_clock::time_point at)
+                                    { return at > latest; });
     cr_expect_eq(late, 0, "%td of %zu crashes came later", late, all.size());
 }
 
+void check_crashes(const direct_fleet& fleet)
+{
+    std::vector<steady_clock::time_point> times;
+    for (const endpoint_crash& each : fleet.crashes())
+        times.push_back(each.at);
+    check_times(times);
+}
+
+/// A fleet whose instances get slots from schedulers.
+fleet_plan scheduled_plan()
+{
+    fleet_plan plan;
+    plan.instances_per_domain = 1;
+    plan.services = {
+        {.name = "planner", .kind = "model", .endpoints_per_domain = 3},
+        {.name = "desk", .kind = "plain", .endpoints_per_domain = 3}};
+    return plan;
+}
+
+void ask_bad(fleet& running, std::size_t instance, const std::string& service)
+{
+    call bad = running.make_call(instance, "north", service);
+    bad.mark = "bad";
+    bad.fields["X-Deadline-Ms"] = "1000";
+    ask_now(bad);
+    std::this_thread::sleep_for(milliseconds(100));
+}
+
+/// A caller that sends one call again and again through the given instances.
+void insist_on(fleet& running, const std::vector<std::size_t>& instances,
+               const std::string& service, seconds time)
+{
+    const auto until = steady_clock::now() + time;
+    while (steady_clock::now() < until)
+    {
+        for (const std::size_t instance : instances)
+        {
+            ask_bad(running, instance, service);
+        }
+    }
+}
+
+void set_crash(fleet& running, const std::string& service)
+{
+    for (const auto& each : running.endpoints(service))
+        each->set_crash("bad", milliseconds(1500));
+}
+
+std::vector<steady_clock::time_point> crash_times(fleet& running,
+                                                  const std::string& service)
+{
+    std::vector<steady_clock::time_point> all;
+    for (const auto& each : running.endpoints(service))
+    {
+        const auto own = each->crashes();
+        all.insert(all.end(), own.begin(), own.end());
+    }
+    std::sort(all.begin(), all.end());
+    return all;
+}
+
 /// Waits until all endpoints are back and listed everywhere.
 void wait_for_endpoints(direct_fleet& fleet, std::size_t count)
 {
@@ -156,7 +217,8 @@
         direct_call call = fleet.make_call(static_cast<std::size_t>(i) % 3);
         call.body = "sound " + std::to_string(i % 10);
         sound.push_back(
-            {steady_clock::now(), std::async(std::launch::async, ask, call)});
+            {steady_clock::now(),
+             std::async(std::launch::async, [call] { return ask(call); })});
         std::this_thread::sleep_for(milliseconds(80));
     }
     bad.get();
@@ -177,3 +239,29 @@
     for (std::size_t instance = 0; instance < 3; ++instance)
         cr_expect_eq(ask(fleet.make_call(instance)).status, 200U);
 }
+
+// Guards against BUDGET as above where schedulers grant slots of engines.
+Test(crashes, a_scheduled_request_that_crashes_engines_is_not_sent_on)
+{
+    fleet running(scheduled_plan());
+    set_crash(running, "planner");
+    insist_on(running, {0, 1, 2}, "planner", seconds(8));
+    check_times(crash_times(running, "planner"));
+}
+
+// Guards against BUDGET as above where schedulers grant slots of plain
+// endpoints, and the instance that has seen the crashes is killed.
+Test(crashes, scheduled_instances_know_of_crashes_after_a_kill)
+{
+    fleet running(scheduled_plan());
+    set_crash(running, "desk");
+    const auto until = steady_clock::now() + seconds(20);
+    while (crash_times(running, "desk").size() < allowed_crashes &&
+           steady_clock::now() < until)
+        ask_bad(running, 0, "desk");
+    running.kill_and_wait(running.at(0));
+    insist_on(running, {1, 2}, "desk", seconds(4));
+    running.start_and_wait(running.at(0));
+    insist_on(running, {0}, "desk", seconds(4));
+    check_times(crash_times(running, "desk"));
+}
--- a/test/standins/endpoint.cpp
+++ b/test/standins/endpoint.cpp
@@ -34,6 +34,42 @@
     return found == started_by_mark_.end() ? 0 : found->second;
 }
 
+void endpoint::set_crash(const std::string& mark,
+                         std::chrono::milliseconds downtime)
+{
+    const std::lock_guard lock(mutex_);
+    crash_mark_ = mark;
+    downtime_ = downtime;
+}
+
+std::vector<std::chrono::steady_clock::time_point> endpoint::crashes() const
+{
+    const std::lock_guard lock(mutex_);
+    return crashes_;
+}
+
+bool endpoint::crash_under(const std::string& mark)
+{
+    const std::lock_guard lock(mutex_);
+    if (crash_mark_.empty() || mark != crash_mark_)
+        return false;
+    if (is_down_)
+        return true;
+    is_down_ = true;
+    crashes_.push_back(std::chrono::steady_clock::now());
+    server_.crash();
+    asio::co_spawn(runner_.context(), come_back(downtime_), asio::detached);
+    return true;
+}
+
+asio::awaitable<void> endpoint::come_back(std::chrono::milliseconds downtime)
+{
+    co_await sleep_for(downtime);
+    server_.listen_again();
+    const std::lock_guard lock(mutex_);
+    is_down_ = false;
+}
+
 asio::awaitable<void> endpoint::enter()
 {
     // An engine admits what arrives; what exceeds its batch waits.
@@ -76,7 +112,7 @@
     --waiting_;
     const long tokens = query_number(target, "tokens", -1);
     bool more = false;
-    if (drop_answers_)
+    if (drop_answers_ || crash_under(mark))
         more = false;
     else if (tokens >= 0)
         more = co_await stream_tokens(stream, asked, mark, tokens);
--- a/test/standins/endpoint.hpp
+++ b/test/standins/endpoint.hpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <mutex>
 #include <set>
+#include <vector>
 
 namespace standin
 {
@@ -47,6 +48,11 @@
     void send_odd_bytes(bool odd) { odd_bytes_ = odd; }
     /// Closes the connection instead of answering, after counting the run.
     void drop_answers(bool drop) { drop_answers_ = drop; }
+    /// Crashes instead of answering a call with this mark, and is back at its
+    /// address after a time.
+    void set_crash(const std::string& mark, std::chrono::milliseconds downtime);
+    [[nodiscard]] std::vector<std::chrono::steady_clock::time_point>
+    crashes() const;
 
   private:
     asio::awaitable<bool> answer(beast::tcp_stream& stream, request asked);
@@ -57,6 +63,9 @@
                                       const request& asked,
                                       const std::string& mark);
     asio::awaitable<void> enter();
+    /// Returns whether the endpoint crashes under a call.
+    bool crash_under(const std::string& mark);
+    asio::awaitable<void> come_back(std::chrono::milliseconds downtime);
     [[nodiscard]] std::string request_name(const request& asked) const;
 
     endpoint_options options_;
@@ -73,6 +82,10 @@
     std::chrono::steady_clock::time_point load_at_;
     mutable std::mutex mutex_;
     std::map<std::string, int> started_by_mark_;
+    std::string crash_mark_;
+    std::chrono::milliseconds downtime_{0};
+    std::vector<std::chrono::steady_clock::time_point> crashes_;
+    bool is_down_ = false;
     background runner_;
     http_server server_;
 };
