Scheduled requests that crash endpoints are quarantined, too

The entry counts a crash when the connection of an attempt broke and the endpoint refuses a new one; entries of endpoints do not tell their starts apart, so each counted crash is one of its own. Evidence goes to all live instances with the next tick and is copied to an instance that starts (message crash_report). A quarantined request is refused before it counts towards anything, when it is granted a slot, and before a repeat; it has reason 'quarantined' (503), or 'endpoint_failed' (502) if it may have run.

An instance of an earlier release drops an envelope that holds the new message; senders repeat what matters of it.

--- a/packages/adapters/lib/caller_session.cpp
+++ b/packages/adapters/lib/caller_session.cpp
@@ -306,6 +306,8 @@
     if (!wrong.empty())
         co_return co_await answer_problem(bad_request,
                                           http::status::bad_request, wrong);
+    wanted.content = core::crash_key_of(
+        {way->service, request.method_string(), way->rest, request.body()});
     wanted.id = shared_.control.next_request_id();
     co_return co_await carry_out(request, wanted, service->kind, way->rest);
 }
--- a/packages/adapters/lib/endpoint_call.cpp
+++ b/packages/adapters/lib/endpoint_call.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t piece_size = 16 * 1024;
 constexpr std::uint32_t max_answer_header = 64 * 1024;
 constexpr std::chrono::milliseconds connect_timeout{2000};
+/// Endpoints that have terminated refuse connections within a round trip.
+constexpr std::chrono::milliseconds check_timeout{250};
 constexpr core::duration progress_period = std::chrono::milliseconds(500);
 /// Rough size of a token in an answer that is not streamed as events.
 constexpr std::uint64_t bytes_per_token = 4;
@@ -29,6 +31,15 @@
            beast::iequals(name, "Host") || beast::iequals(name, "X-Request-Id");
 }
 
+/// Whether the other side has closed a connection.
+bool is_broken_connection(error_code error)
+{
+    return error == http::error::end_of_stream ||
+           error == http::error::partial_message || error == asio::error::eof ||
+           error == asio::error::connection_reset ||
+           error == asio::error::broken_pipe;
+}
+
 } // namespace
 
 std::unique_ptr<beast::tcp_stream>
@@ -73,6 +84,7 @@
     made.server_error = parser_ && parser_->is_header_done() &&
                         http::to_status_class(parser_->get().result()) ==
                             http::status_class::server_error;
+    made.endpoint_terminated = has_terminated_;
     return made;
 }
 
@@ -115,6 +127,8 @@
     const error_code error = co_await connect_from(
         *stream_, context_.control.settings().address, to);
     withheld_ = is_local_shortage(error);
+    has_terminated_ =
+        has_broken_ && sent_ && error == asio::error::connection_refused;
     co_return !error;
 }
 
@@ -157,6 +171,7 @@
             parser_->skip(true);
         auto [error, bytes] = co_await http::async_read_header(
             *stream_, buffer_, *parser_, as_result);
+        has_broken_ = is_broken_connection(error);
         if (error)
             co_return false;
         const auto status = http::to_status_class(parser_->get().result());
@@ -246,7 +261,10 @@
         auto [error, bytes] = co_await http::async_read_some(
             *stream_, buffer_, *parser_, as_result);
         if (error && error != http::error::need_buffer)
+        {
+            has_broken_ = is_broken_connection(error);
             co_return attempt_end::failed_in_answer;
+        }
         const std::size_t size = piece.size() - body.size;
         if (size == 0)
             continue;
@@ -275,6 +293,23 @@
     co_return error ? attempt_end::caller_left : attempt_end::completed;
 }
 
+asio::awaitable<void>
+endpoint_call::check_termination(const endpoint_route& route)
+{
+    if (!has_broken_ || !sent_ || aborted_)
+        co_return;
+    auto probe =
+        std::make_unique<beast::tcp_stream>(context_.caller.get_executor());
+    probe->expires_after(check_timeout);
+    ++context_.control.traffic().endpoint_connects;
+    const error_code error = co_await connect_from(
+        *probe, context_.control.settings().address,
+        tcp::endpoint(asio::ip::make_address(route.ip), route.port));
+    has_terminated_ = error == asio::error::connection_refused;
+    if (!error)
+        context_.pool.give(route.id, std::move(probe));
+}
+
 asio::awaitable<core::attempt_result> endpoint_call::run()
 {
     using core::attempt_end;
@@ -298,7 +333,10 @@
         answered = co_await send() && co_await read_header();
     }
     if (!answered)
+    {
+        co_await check_termination(*route);
         co_return result(unanswered_end());
+    }
     if (!answers_this_request())
     {
         context_.control.log().write(process_event::invariant_answer_mixed,
@@ -312,6 +350,7 @@
     event_stream_ = parser_->get()[http::field::content_type].starts_with(
         "text/event-stream");
     const attempt_end end = co_await relay();
+    co_await check_termination(*route);
     context_.control.traffic().tokens += tokens_;
     const bool reusable = end == attempt_end::completed && !aborted_ &&
                           parser_->keep_alive() && buffer_.size() == 0;
--- a/packages/adapters/lib/endpoint_call.hpp
+++ b/packages/adapters/lib/endpoint_call.hpp
@@ -71,6 +71,8 @@
     [[nodiscard]] bool answers_this_request() const;
     [[nodiscard]] core::cost cost_so_far() const;
     [[nodiscard]] core::attempt_end unanswered_end() const;
+    /// Finds out whether the endpoint has terminated, if its connection broke.
+    asio::awaitable<void> check_termination(const endpoint_route& route);
     core::attempt_result result(core::attempt_end end);
 
     call_context context_;
@@ -84,6 +86,9 @@
     bool withheld_ = false;
     bool answer_begun_ = false;
     bool aborted_ = false;
+    /// The endpoint closed the connection before the answer was complete.
+    bool has_broken_ = false;
+    bool has_terminated_ = false;
     bool event_stream_ = false;
     bool previous_newline_ = false;
     std::uint64_t tokens_ = 0;
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -95,6 +95,9 @@
     event_kind{2203, info, "request_refused",
                "A request got its final answer: refused, with the reason."},
     event_kind{2204, debug, "request_completed", "A request completed."},
+    event_kind{2205, info, "crash_evidence",
+               "What is known of a request that crashes endpoints has changed; "
+               "`change` tells how, `content` is the key of the request."},
     event_kind{
         2301, info, "key_duplicate",
         "An idempotency key was claimed before; the request was refused."},
--- a/packages/core/include/sycamorelock/core/control_state.hpp
+++ b/packages/core/include/sycamorelock/core/control_state.hpp
@@ -128,6 +128,7 @@
     void on(moment now, instance_id from, const grant& message);
     void on(moment now, instance_id from, const reject& message);
     void on(moment now, instance_id from, const claim_result& message);
+    void on(moment now, instance_id from, const crash_report& message);
     template <class Message>
     requires requires(const Message& m) { m.shard; }
     void on(moment now, instance_id from, const Message& message);
@@ -144,6 +145,11 @@
     /// that shard.
     void forward_enqueue(const enqueue& message);
     void send_versions(instance_id to);
+    /// Reports new evidence of crashes to all other instances.
+    void report_crashes(time_point now);
+    /// Sends an instance that has started the evidence known here.
+    void help_with_crashes(time_point now, instance_id to,
+                           std::uint32_t incarnation);
     [[nodiscard]] config_version version() const;
 
     node_options options_;
@@ -158,6 +164,9 @@
     std::map<shard_id, std::unique_ptr<shard_scheduler>> schedulers_;
     std::uint64_t last_placed_generation_ = 0;
     config_version newest_known_config_;
+    /// Process of each other instance that was last sent all evidence of
+    /// crashes.
+    std::map<instance_id, std::uint32_t> informed_incarnations_;
     time_point started_;
     time_point last_input_;
     bool received_gossip_ = false;
--- a/packages/core/include/sycamorelock/core/entry.hpp
+++ b/packages/core/include/sycamorelock/core/entry.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "sycamorelock/core/cost_estimator.hpp"
+#include "sycamorelock/core/crash_tracker.hpp"
 #include "sycamorelock/core/key_owner.hpp"
 #include "sycamorelock/core/request_records.hpp"
 #include "sycamorelock/core/retry_budget.hpp"
@@ -28,6 +29,8 @@
     /// False if the request must not be executed more than once.
     bool idempotent = true;
     std::optional<idempotency_key> key;
+    /// Key of what endpoints execute of the request.
+    std::optional<crash_key> content;
 };
 
 /// How far an attempt got at the endpoint.
@@ -58,6 +61,8 @@
     duration token_delay{0};
     /// The endpoint answered with a server error, which the caller receives.
     bool server_error = false;
+    /// The connection broke, and the endpoint refuses new ones.
+    bool endpoint_terminated = false;
 };
 
 struct entry_options
@@ -100,7 +105,7 @@
 class entry
 {
   public:
-    entry(entry_options options, shard_directory& directory,
+    entry(entry_options options, instance_id self, shard_directory& directory,
           const placement& owners, outbox& out);
 
     void configure(const topology& config);
@@ -122,6 +127,8 @@
 
     [[nodiscard]] std::size_t open_requests() const { return open_.size(); }
     [[nodiscard]] const entry_counters& counters() const { return counters_; }
+    [[nodiscard]] crash_tracker& crashes() { return crashes_; }
+    [[nodiscard]] const crash_tracker& crashes() const { return crashes_; }
     /// Record of an open or recent request; null if there is none.
     [[nodiscard]] const request_record* explain(const request_id& id) const
     {
@@ -163,13 +170,29 @@
         bool maybe_ran = false;
         /// The owner of the shard changed while the request waited.
         bool requeued = false;
+        /// The request is quarantined and sent once, to find out whether
+        /// endpoints still crash under it.
+        bool is_probe = false;
     };
     using open_map = std::map<request_id, open_request>;
     /// Delay suggested to a refused caller if the scheduler gave none.
     static constexpr std::chrono::milliseconds default_retry_after{1000};
 
-    void refuse_new(time_point now, const submission& submitted,
-                    refusal_reason reason);
+    void
+    refuse_new(time_point now, const submission& submitted,
+               refusal_reason reason,
+               std::chrono::milliseconds retry_after = default_retry_after);
+    /// Time after which a quarantined request may be tried again.
+    [[nodiscard]] std::chrono::milliseconds
+    quarantine_delay(time_point now, const submission& request) const;
+    [[nodiscard]] bool is_quarantined(const open_request& request) const
+    {
+        return request.spec.content && !request.is_probe &&
+               crashes_.is_quarantined(*request.spec.content);
+    }
+    /// Counts a crash of the endpoint, or that it executed the request.
+    void note_crash_evidence(time_point now, const open_request& request,
+                             const attempt_result& result);
     void send_claim(time_point now, open_request& request);
     void start_waiting(time_point now, open_request& request);
     void send_enqueue(time_point now, open_request& request);
@@ -193,6 +216,7 @@
     request_record& record_of(const open_request& request);
 
     entry_options options_;
+    instance_id self_;
     shard_directory& directory_;
     const placement& placement_;
     outbox& out_;
@@ -206,6 +230,10 @@
     /// Generation of the placement for which owners were last checked.
     std::uint64_t seen_generation_ = 0;
     bool stopping_ = false;
+    crash_tracker crashes_;
+    /// Crashes that this instance has counted. Entries of endpoints do not tell
+    /// their starts apart.
+    std::uint32_t counted_crashes_ = 0;
     request_records records_;
 };
 
--- a/packages/core/include/sycamorelock/core/messages.hpp
+++ b/packages/core/include/sycamorelock/core/messages.hpp
@@ -1,6 +1,7 @@
 // Messages between instances as plain data. The wire package encodes them.
 #pragma once
 
+#include "sycamorelock/core/crash_tracker.hpp"
 #include "sycamorelock/core/reasons.hpp"
 #include "sycamorelock/core/strong_types.hpp"
 
@@ -294,11 +295,17 @@
     std::string text;
 };
 
+/// Evidence of requests that crash endpoints.
+struct crash_report
+{
+    std::vector<crash_note> notes;
+};
+
 using peer_message =
     std::variant<gossip, enqueue, withdraw, grant, confirm, reject, renew,
                  adopt, release, advert, service_report, snapshot_request,
                  snapshot, claim, claim_result, claim_release, config_request,
-                 config_document, membership_document>;
+                 config_document, membership_document, crash_report>;
 
 constexpr std::size_t message_type_count = std::variant_size_v<peer_message>;
 
--- a/packages/core/include/sycamorelock/core/outbox.hpp
+++ b/packages/core/include/sycamorelock/core/outbox.hpp
@@ -65,6 +65,7 @@
     attempt_retried = 2202,
     request_refused = 2203,
     request_completed = 2204,
+    crash_evidence = 2205,
     key_duplicate = 2301,
     key_owner_reset = 2302,
     invariant_slots_exceeded = 2901,
--- a/packages/core/include/sycamorelock/core/reasons.hpp
+++ b/packages/core/include/sycamorelock/core/reasons.hpp
@@ -33,8 +33,10 @@
     unknown_service,
     bad_request,
     body_too_large,
+    /// Several endpoints have crashed under the request.
+    quarantined,
 };
-inline constexpr std::size_t refusal_reason_count = 19;
+inline constexpr std::size_t refusal_reason_count = 20;
 
 /// Why an attempt is repeated.
 enum class retry_reason : std::uint8_t
--- a/packages/core/lib/control_state.cpp
+++ b/packages/core/lib/control_state.cpp
@@ -27,7 +27,7 @@
       placement_(options.self, options.domain, options.incarnation,
                  options.placement, options.seed, out_),
       directory_(options.mode, placement_),
-      entry_(options.entry, directory_, placement_, out_),
+      entry_(options.entry, options.self, directory_, placement_, out_),
       keys_(options.keys, started.wall), started_(started.now),
       last_input_(started.now)
 {
@@ -132,6 +132,7 @@
     for (auto& [id, scheduler] : schedulers_)
         scheduler->tick(now.now);
     entry_.tick(now.now);
+    report_crashes(now.now);
 }
 
 void control_state::leave(moment now)
@@ -267,6 +268,7 @@
                             const peer_message& content)
 {
     placement_.record_message_from(now.now, from, incarnation);
+    help_with_crashes(now.now, from, incarnation);
     dispatch_message(now, from, content);
 }
 
@@ -346,6 +348,43 @@
     entry_.on_message(now.now, from, message);
 }
 
+void control_state::on(moment now, instance_id, const crash_report& message)
+{
+    entry_.crashes().add_remote(now.now, message.notes);
+}
+
+void control_state::report_crashes(time_point now)
+{
+    crash_tracker& crashes = entry_.crashes();
+    for (const crash_event& each : crashes.take_events())
+        out_.record_event(event_number::crash_evidence,
+                          "change=" + std::string(to_string(each.what)) +
+                              " content=" + to_string(each.key) +
+                              " crashes=" + std::to_string(each.crashes) +
+                              " source=" + (each.is_remote ? "peer" : "own"));
+    const std::vector<crash_note> notes = crashes.take_unreported(now);
+    std::vector<instance_id> others = placement_.live();
+    std::erase(others, options_.self);
+    for (const instance_id to : others)
+    {
+        if (!notes.empty())
+            out_.send(to, crash_report{notes});
+    }
+    crashes.set_members(std::move(others));
+}
+
+void control_state::help_with_crashes(time_point now, instance_id to,
+                                      std::uint32_t incarnation)
+{
+    std::uint32_t& informed = informed_incarnations_[to];
+    if (informed == incarnation)
+        return;
+    informed = incarnation;
+    std::vector<crash_note> known = entry_.crashes().copy(now);
+    if (!known.empty())
+        out_.send(to, crash_report{std::move(known)});
+}
+
 void control_state::on(moment now, instance_id from, const gossip& message)
 {
     placement_.on_gossip(now.now, message);
--- a/packages/core/lib/entry.cpp
+++ b/packages/core/lib/entry.cpp
@@ -19,9 +19,10 @@
 
 } // namespace
 
-entry::entry(entry_options options, shard_directory& directory,
-             const placement& owners, outbox& out)
-    : options_(options), directory_(directory), placement_(owners), out_(out)
+entry::entry(entry_options options, instance_id self,
+             shard_directory& directory, const placement& owners, outbox& out)
+    : options_(options), self_(self), directory_(directory), placement_(owners),
+      out_(out), crashes_(self)
 {
 }
 
@@ -46,14 +47,21 @@
 }
 
 void entry::refuse_new(time_point now, const submission& submitted,
-                       refusal_reason reason)
+                       refusal_reason reason,
+                       std::chrono::milliseconds retry_after)
 {
     open_request request;
     request.spec = submitted;
     request.accepted = now;
     ++open_by_account_[submitted.account];
     const auto found = open_.emplace(submitted.id, std::move(request)).first;
-    refuse_open(now, found, reason, executed::no, default_retry_after);
+    refuse_open(now, found, reason, executed::no, retry_after);
+}
+
+std::chrono::milliseconds
+entry::quarantine_delay(time_point now, const submission& request) const
+{
+    return in_milliseconds(crashes_.time_to_probe(now, *request.content));
 }
 
 void entry::submit(time_point now, const submission& submitted)
@@ -73,9 +81,16 @@
     if (open_.size() >= options_.max_requests ||
         open >= account->second.max_in_flight)
         return refuse_new(now, submitted, refusal_reason::too_many_requests);
+    const auto admitted = submitted.content
+                              ? crashes_.admit(now, *submitted.content)
+                              : crash_tracker::admission::admitted;
+    if (admitted == crash_tracker::admission::refused)
+        return refuse_new(now, submitted, refusal_reason::quarantined,
+                          quarantine_delay(now, submitted));
 
     budget_.earn();
     open_request request;
+    request.is_probe = admitted == crash_tracker::admission::probe;
     request.spec = submitted;
     request.accepted = now;
     request.estimate =
@@ -174,6 +189,15 @@
         out_.send(from, query);
         return;
     }
+    // Endpoints may have crashed under equal requests while this one waited.
+    if (is_quarantined(request))
+    {
+        out_.send(from,
+                  withdraw{message.request, message.attempt, message.shard});
+        refuse_open(now, found, refusal_reason::quarantined, executed::no,
+                    quarantine_delay(now, request.spec));
+        return;
+    }
     const bool claim_expired =
         request.claimed && now - request.claim_sent > options_.claim_max_age;
     if (claim_expired)
@@ -247,6 +271,7 @@
     if (!current)
         return;
     record_of(request).total = result.total;
+    note_crash_evidence(now, request, result);
     switch (result.end)
     {
     case attempt_end::completed:
@@ -293,6 +318,25 @@
     }
 }
 
+void entry::note_crash_evidence(time_point now, const open_request& request,
+                                const attempt_result& result)
+{
+    if (!request.spec.content)
+        return;
+    const crash_key key = *request.spec.content;
+    if (result.end == attempt_end::completed && !result.server_error)
+        crashes_.note_success(now, key);
+    if (!result.endpoint_terminated)
+        return;
+    const endpoint_id start =
+        endpoint_id::of(std::to_string(request.endpoint.value()) + '/' +
+                        std::to_string(self_.value()) + '/' +
+                        std::to_string(result.request.incarnation) + '/' +
+                        std::to_string(++counted_crashes_));
+    crashes_.suspect(now, start, key);
+    crashes_.note_terminated(now, start);
+}
+
 void entry::retry_or_refuse(time_point now, open_map::iterator found,
                             retry_reason reason, executed ran)
 {
@@ -302,6 +346,12 @@
     if (!safe_to_retry)
         return refuse_open(now, found, refusal_reason::endpoint_failed, ran,
                            default_retry_after);
+    // An endpoint may have executed a probe, so that it counts as failed.
+    if (request.is_probe || is_quarantined(request))
+        return refuse_open(now, found,
+                           request.maybe_ran ? refusal_reason::endpoint_failed
+                                             : refusal_reason::quarantined,
+                           ran, quarantine_delay(now, request.spec));
     if (request.attempt >= options_.max_attempts)
         return refuse_open(now, found, refusal_reason::retries_exhausted, ran,
                            default_retry_after);
--- a/packages/core/lib/messages.cpp
+++ b/packages/core/lib/messages.cpp
@@ -28,7 +28,8 @@
         "claim_release",
         "config_request",
         "config_document",
-        "membership_document"};
+        "membership_document",
+        "crash_report"};
     assert(index < names.size() && "message type without a name");
     return names[index];
 }
--- a/packages/wire/lib/convert.cpp
+++ b/packages/wire/lib/convert.cpp
@@ -54,6 +54,8 @@
         return read(body.config_document(), ends);
     case pb::Body::kMembershipDocument:
         return read(body.membership_document(), ends);
+    case pb::Body::kCrashReport:
+        return read(body.crash_report(), ends);
     case pb::Body::CONTENT_NOT_SET:
         break;
     }
--- a/packages/wire/lib/convert.hpp
+++ b/packages/wire/lib/convert.hpp
@@ -61,5 +61,7 @@
            pb::Body& body);
 core::membership_document read(const pb::MembershipDocument& from,
                                const parties& ends);
+void write(const core::crash_report& from, const parties& ends, pb::Body& body);
+core::crash_report read(const pb::CrashReport& from, const parties& ends);
 
 } // namespace sycamorelock::wire
--- a/packages/wire/lib/convert_requests.cpp
+++ b/packages/wire/lib/convert_requests.cpp
@@ -239,4 +239,29 @@
     return {read(from.request(), ends), read(from.key())};
 }
 
+void write(const core::crash_report& from, const parties&, pb::Body& body)
+{
+    pb::CrashReport& to = *body.mutable_crash_report();
+    for (const core::crash_note& note : from.notes)
+    {
+        pb::CrashEvidence& item = *to.add_notes();
+        item.set_key(note.key.value());
+        item.set_endpoint(note.endpoint.value());
+        item.set_age_ms(static_cast<std::uint32_t>(note.age.count()));
+        item.set_evidence(static_cast<std::uint32_t>(note.evidence));
+    }
+}
+
+core::crash_report read(const pb::CrashReport& from, const parties&)
+{
+    static constexpr std::uint32_t kinds = 3;
+    core::crash_report to;
+    for (const pb::CrashEvidence& item : from.notes())
+        to.notes.push_back(
+            {read_enum<core::crash_evidence>(item.evidence(), kinds),
+             core::crash_key(item.key()), core::endpoint_id(item.endpoint()),
+             read_ms(item.age_ms())});
+    return to;
+}
+
 } // namespace sycamorelock::wire
