Log lines show the parts of a prompt whose engine broke off

Nothing told what requests have in common under which engines end: attempt_repeated now has 'parts', the keys of all but the last part of the prompt, and 'events', which tells whether the answer had begun.

--- a/packages/adapters/lib/direct/request_log.cpp
+++ b/packages/adapters/lib/direct/request_log.cpp
@@ -57,6 +57,19 @@
                                       : to_string(request.content_key());
 }
 
+/// Keys of the prompt's parts that other requests may share, in order.
+std::string parts_text(const open_request& request)
+{
+    const std::vector<core::direct::prompt_part>& parts = request.profile.parts;
+    std::string text;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i)
+    {
+        text.append(i == 0 ? "" : ",")
+            .append(to_string(core::crash_key(parts[i].key)));
+    }
+    return text_or_none(text);
+}
+
 /// How long the caller said that it would wait.
 std::string left_text(const open_request& request)
 {
@@ -158,6 +171,8 @@
          {"end", how},
          {"why", std::string(why)},
          {"content", to_string(request.content_key())},
+         {"parts", parts_text(request)},
+         {"events", std::to_string(request.events.count())},
          {"after_ms", ms_text(now() - request.profile.arrived)}});
 }
 
