Failing tests: prompt parts that crash the engines that answer on them

Requests with one part, no two alike, come at three instances beside sound ones that share their first part; stand-in engines crash when they begin an answer on that part and are back after 1.5 s.

--- a/test/integration/crashes_test.cpp
+++ b/test/integration/crashes_test.cpp
@@ -145,6 +145,85 @@
     cr_assert(eventually([&] { return fleet.that_say(line) > 0; }, seconds(8)));
 }
 
+/// Part of prompts under which engines crash when they begin to answer.
+const std::string bad_part = "bad0bad0";
+/// Engines that may end under one part, and requests with it that may reach
+/// engines once instances could know of those ends.
+constexpr std::size_t allowed_part_crashes = 5;
+constexpr std::ptrdiff_t allowed_late_requests = 3;
+
+/// A request no other one is alike. Many share its first part and some its
+/// second.
+direct_call prompt_call(direct_fleet& fleet, std::size_t instance, int number,
+                        const std::string& second_part)
+{
+    direct_call made = fleet.make_call(instance);
+    made.body = "prompt " + std::to_string(number);
+    made.fields["Model"] = "m";
+    made.fields["Token-Usage"] = "360,40";
+    made.fields["Prefix-Hash"] = "a1a1a1a1:200," + second_part + ":110," +
+                                 std::to_string(number) + ":50";
+    made.time_left_ms = 3000;
+    return made;
+}
+
+struct prompt_answer
+{
+    steady_clock::time_point sent;
+    std::future<direct_answer> answer;
+};
+
+/// Sound requests and some with the bad part, at all instances for some time.
+/// \param meanwhile called after each request.
+std::vector<prompt_answer>
+mixed_prompts(direct_fleet& fleet, const std::vector<std::size_t>& instances,
+              seconds time, const std::function<void()>& meanwhile)
+{
+    std::vector<prompt_answer> sound;
+    std::vector<std::future<direct_answer>> bad;
+    const auto until = steady_clock::now() + time;
+    for (int i = 0; steady_clock::now() < until; ++i)
+    {
+        const bool is_bad = i % 6 == 5;
+        const std::size_t instance =
+            instances[static_cast<std::size_t>(i) % instances.size()];
+        const direct_call call =
+            prompt_call(fleet, instance, i,
+                        is_bad ? bad_part : "b" + std::to_string(i % 7));
+        std::future<direct_answer> answer =
+            std::async(std::launch::async, [call] { return ask(call); });
+        if (is_bad)
+            bad.push_back(std::move(answer));
+        else
+            sound.push_back({steady_clock::now(), std::move(answer)});
+        meanwhile();
+        std::this_thread::sleep_for(milliseconds(30));
+    }
+    return sound;
+}
+
+/// Checks that few requests with the bad part reach engines after instances
+/// could know of the crashes that are allowed.
+void check_late_requests(direct_fleet& fleet, std::size_t engines)
+{
+    const std::vector<endpoint_crash> crashes = fleet.crashes();
+    cr_assert_geq(crashes.size(), allowed_part_crashes);
+    const auto latest = crashes[allowed_part_crashes - 1].at + contact_time;
+    std::ptrdiff_t late = 0;
+    for (std::size_t i = 0; i < engines; ++i)
+    {
+        const std::vector<engine_run> runs = fleet.engine(i).runs();
+        late += std::count_if(runs.begin(), runs.end(),
+                              [latest](const engine_run& each) {
+                                  return each.at > latest &&
+                                         each.parts.find(bad_part) !=
+                                             std::string::npos;
+                              });
+    }
+    cr_expect_leq(late, allowed_late_requests, "%td later, %zu crashes", late,
+                  crashes.size());
+}
+
 } // namespace
 
 // Guards against BUDGET: a request is sent to further engines after three have
@@ -265,3 +344,54 @@
     insist_on(running, {0}, "desk", seconds(4));
     check_times(crash_times(running, "desk"));
 }
+
+// Guards against BUDGET: requests with one part in their prompts, no two alike,
+// are sent to engines after five have ended under that part. Guards also
+// against LOST: sound requests that share their first part are refused.
+Test(crashes, requests_with_a_part_that_crashes_engines_are_not_sent_on)
+{
+    direct_fleet fleet(plan_of(3, 8, 1));
+    crash_rule rule;
+    rule.part = bad_part;
+    fleet.set_crash(rule);
+    std::vector<prompt_answer> sound =
+        mixed_prompts(fleet, {0, 1, 2}, seconds(12), [] {});
+    check_late_requests(fleet, 8);
+    const std::vector<endpoint_crash> crashes = fleet.crashes();
+    const auto known_at =
+        crashes[allowed_part_crashes - 1].at + 2 * contact_time;
+    std::size_t asked = 0;
+    std::size_t served = 0;
+    for (prompt_answer& each : sound)
+    {
+        const bool is_late = each.sent > known_at;
+        asked += is_late ? 1 : 0;
+        served += is_late && each.answer.get().status == 200 ? 1 : 0;
+    }
+    cr_expect_gt(asked, 20U);
+    cr_expect_eq(served, asked, "%zu of %zu", served, asked);
+}
+
+// Guards against BUDGET as above if an instance that has seen the crashes is
+// killed and comes back without memory.
+Test(crashes, parts_that_crash_engines_are_known_after_a_kill)
+{
+    direct_fleet fleet(plan_of(3, 8, 1));
+    crash_rule rule;
+    rule.part = bad_part;
+    fleet.set_crash(rule);
+    bool is_killed = false;
+    mixed_prompts(fleet, {0, 1, 2}, seconds(6),
+                  [&]
+                  {
+                      if (is_killed || fleet.crashes().size() < allowed_crashes)
+                          return;
+                      fleet.kill(fleet.at(0));
+                      is_killed = true;
+                  });
+    cr_assert(is_killed);
+    fleet.start(fleet.at(0));
+    fleet.wait_ready();
+    mixed_prompts(fleet, {0}, seconds(4), [] {});
+    check_late_requests(fleet, 8);
+}
