Prompt parts that crash engines are quarantined

Requests with one part in their prompts, no two alike, ended engine after engine: nothing connects requests that share a part.

Each part but the last is a key of crash_tracker beside the content of the request. When an engine ends, the parts of those requests whose answer had not begun are suspected; a first token clears the parts of its request. Parts that many requests share are open at every engine that ends, so a key does not count if stronger ones explain its crashes: each of them is also the crash of a key with more crashes, or with as many and an older success or none. Where two keys cannot be told apart, a request that has only one of them is a probe after 5 s instead of 30 s.

Crashes below the limit are forgotten after 2 minutes instead of 10, so that keys are computed for a short time only after a crash.

--- a/packages/adapters/lib/direct/open_request.cpp
+++ b/packages/adapters/lib/direct/open_request.cpp
@@ -17,4 +17,12 @@
     return *known_content_key;
 }
 
+std::vector<core::crash_key> open_request::crash_keys()
+{
+    std::vector<core::crash_key> keys =
+        core::direct::shared_part_keys(profile.parts);
+    keys.push_back(content_key());
+    return keys;
+}
+
 } // namespace sycamorelock::adapters::direct
--- a/packages/adapters/lib/direct/open_request.hpp
+++ b/packages/adapters/lib/direct/open_request.hpp
@@ -55,6 +55,8 @@
     /// Key of what endpoints execute of this request. Computed when it is first
     /// needed, because few requests need it.
     [[nodiscard]] core::crash_key content_key();
+    /// That key and those of the shared parts of its prompt.
+    [[nodiscard]] std::vector<core::crash_key> crash_keys();
     /// Whether it goes on with a stream that another attempt began.
     [[nodiscard]] bool resumes_stream() const
     {
--- a/packages/adapters/lib/direct/request_log.cpp
+++ b/packages/adapters/lib/direct/request_log.cpp
@@ -65,7 +65,7 @@
     for (std::size_t i = 0; i + 1 < parts.size(); ++i)
     {
         text.append(i == 0 ? "" : ",")
-            .append(to_string(core::crash_key(parts[i].key)));
+            .append(to_string(core::crash_key_of_part(parts[i].key)));
     }
     return text_or_none(text);
 }
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -360,22 +360,23 @@
 {
     using admission = core::crash_tracker::admission;
     core::crash_tracker& crashes = context_.router.crashes();
-    if (crashes.empty())
+    if (!crashes.has_limited())
         co_return false;
-    const core::crash_key key = request.content_key();
-    const admission decided = crashes.admit(now(), key);
+    const std::vector<core::crash_key> keys = request.crash_keys();
+    const admission decided = crashes.admit(now(), keys);
     request.is_probe = decided == admission::probe;
     if (decided != admission::refused)
         co_return false;
     co_await answer_refusal(request,
-                            context_.router.refuse_quarantined(now(), key));
+                            context_.router.refuse_quarantined(now(), keys));
     co_return true;
 }
 
 bool request_session::is_quarantined(open_request& request) const
 {
     const core::crash_tracker& crashes = context_.router.crashes();
-    return !crashes.empty() && crashes.is_quarantined(request.content_key());
+    return crashes.has_limited() &&
+           crashes.is_any_quarantined(request.crash_keys());
 }
 
 void request_session::note_crash_evidence(open_request& request,
@@ -389,8 +390,12 @@
         which.end == attempt_end::failed || which.end == attempt_end::broken;
     if (has_broken && !tried.is_silent())
     {
-        context_.router.suspect_crash(now(), which.placed,
-                                      request.content_key());
+        // A part crashes engines before their answer on it begins.
+        const bool has_begun = tried.first_at() != core::time_point();
+        const std::vector<core::crash_key> keys =
+            has_begun ? std::vector{request.content_key()}
+                      : request.crash_keys();
+        context_.router.suspect_crash(now(), which.placed, keys);
         context_.terminations.start(which.placed.endpoint);
     }
     const bool is_whole =
@@ -643,7 +648,7 @@
     if (is_quarantined(request))
     {
         co_await answer_refusal(request, context_.router.refuse_quarantined(
-                                             now(), request.content_key()));
+                                             now(), request.crash_keys()));
         co_return;
     }
     const auto rest = context_.router.backoff_delay(now(), request.service);
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -135,8 +135,9 @@
                "No other endpoint took a request, so that it goes on at the "
                "one that was silent; `why` tells why no other was left."},
     event_kind{3010, info, "crash_evidence",
-               "What is known of a request that crashes endpoints has changed; "
-               "`change` tells how, `content` is the key of the request."},
+               "What is known of a request or a part of prompts that crashes "
+               "endpoints has changed; `change` tells how, `content` is its "
+               "key."},
     event_kind{3101, info, "endpoint_seen",
                "An endpoint registered or changed its entry."},
     event_kind{3102, info, "endpoint_drains",
--- a/packages/core/include/sycamorelock/core/crash_key.hpp
+++ b/packages/core/include/sycamorelock/core/crash_key.hpp
@@ -30,6 +30,10 @@
 /// Returns the key of a request. It is the same in every process.
 crash_key crash_key_of(const request_content& content);
 
+/// Returns the key of a part of prompts, which many requests may share.
+/// \param part key of the part, independent of the parts before it.
+crash_key crash_key_of_part(std::uint64_t part);
+
 /// Returns the form in which log lines show a key: 16 hexadecimal digits.
 std::string to_string(crash_key key);
 
--- a/packages/core/include/sycamorelock/core/crash_tracker.hpp
+++ b/packages/core/include/sycamorelock/core/crash_tracker.hpp
@@ -1,5 +1,5 @@
-// Finds requests that crash the endpoints that execute them (queries of death)
-// and quarantines them.
+// Finds requests, and parts of prompts, that crash the endpoints that execute
+// them (queries of death), and quarantines them.
 #pragma once
 
 #include "sycamorelock/core/crash_key.hpp"
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -66,8 +67,14 @@
 };
 std::string_view to_string(crash_event::change what);
 
-/// Counts the endpoints that terminated while they executed the same request,
-/// over all instances, and quarantines requests that reach the limit.
+/// Counts the endpoints that terminated while they executed requests with the
+/// same key, over all instances, and quarantines keys that reach the limit.
+///
+/// A request has several keys, and many requests may share one: each part of
+/// its prompt has a key. All keys of the requests that an endpoint was
+/// executing are suspected when it crashes, so sound keys that are in use
+/// everywhere collect crashes, too. They are cleared by successes; and a crash
+/// does not count against a key if another key explains it, see `is_explained`.
 ///
 /// A broken connection alone is no evidence of a crash. It only raises a
 /// suspicion, which counts once the endpoint is known to have terminated, and
@@ -82,11 +89,15 @@
     static constexpr duration suspicion_lifetime = std::chrono::seconds(5);
     /// Crashes that are this much older than the latest one do not count
     /// towards a quarantine.
-    static constexpr duration crash_lifetime = std::chrono::minutes(10);
+    static constexpr duration crash_lifetime = std::chrono::minutes(2);
     /// Time from the last crash until a quarantined request may be tried again,
     /// in case the quarantine is wrong or the endpoints have been corrected. It
     /// doubles with each probe that crashes its endpoint.
     static constexpr duration min_probe_delay = std::chrono::seconds(30);
+    /// The same for a key whose crashes are those of another key as well.
+    /// Either of them may be sound, so a probe is worth more.
+    static constexpr duration min_ambiguous_probe_delay =
+        std::chrono::seconds(5);
     static constexpr duration max_probe_delay = std::chrono::minutes(10);
     /// Time for which one instance of the fleet may send a probe. Another one
     /// is chosen for the next period, as the first may receive no such request.
@@ -124,6 +135,12 @@
     /// this is so, and callers need not compute keys.
     [[nodiscard]] bool empty() const { return keys_.empty(); }
     [[nodiscard]] bool is_quarantined(crash_key key) const;
+    /// Whether any of a request's keys is quarantined.
+    [[nodiscard]] bool
+    is_any_quarantined(std::span<const crash_key> keys) const;
+    /// Whether a key may be quarantined. If not, callers need not compute keys
+    /// to find out.
+    [[nodiscard]] bool has_limited() const { return !limited_.empty(); }
     /// How a request may proceed.
     enum class admission : std::uint8_t
     {
@@ -133,9 +150,19 @@
         probe,
         refused,
     };
-    admission admit(time_point now, crash_key key);
-    /// Time until the next probe of a quarantined key.
-    [[nodiscard]] duration time_to_probe(time_point now, crash_key key) const;
+    /// \param keys all keys of the request.
+    admission admit(time_point now, std::span<const crash_key> keys);
+    admission admit(time_point now, crash_key key)
+    {
+        return admit(now, std::span(&key, 1));
+    }
+    /// Time until the next probe of a request with these keys.
+    [[nodiscard]] duration time_to_probe(time_point now,
+                                         std::span<const crash_key> keys) const;
+    [[nodiscard]] duration time_to_probe(time_point now, crash_key key) const
+    {
+        return time_to_probe(now, std::span(&key, 1));
+    }
 
     /// Merges evidence from another instance.
     void add_remote(time_point now, std::span<const crash_note> notes);
@@ -199,7 +226,25 @@
     {
         return known.crashes.size() >= max_crashes;
     }
-    [[nodiscard]] static time_point probe_due(const record& known);
+    /// Whether one of the two keys explains the crashes that they share better:
+    /// it has more crashes, or as many and its last success is longer ago.
+    [[nodiscard]] static bool is_stronger(const record& one,
+                                          const record& other);
+    /// Whether each crash of a key is also that of a stronger key. A key that
+    /// many requests share is open at every endpoint that crashes, so it would
+    /// reach the limit as well.
+    [[nodiscard]] bool is_explained(crash_key key, const record& known) const;
+    /// Whether the same crashes were counted for another key.
+    [[nodiscard]] bool is_ambiguous(crash_key key, const record& known) const;
+    /// Record of a key if it is quarantined; null otherwise.
+    [[nodiscard]] const record* find_quarantined(crash_key key) const;
+    /// Updates whether the key is in `limited_`.
+    void update_limited(crash_key key, const record& known);
+    [[nodiscard]] time_point probe_due(crash_key key,
+                                       const record& known) const;
+    /// Whether this instance may send a probe of the key now.
+    [[nodiscard]] bool may_probe(time_point now, crash_key key,
+                                 const record& known) const;
     [[nodiscard]] bool is_chosen(crash_key key, std::int64_t period) const;
     void drop_excess_keys();
     void expire(time_point now);
@@ -209,6 +254,8 @@
     std::vector<instance_id> members_;
     std::map<endpoint_id, std::vector<suspicion>> suspicions_;
     std::map<crash_key, record> keys_;
+    /// Keys that have reached the limit, whether they are explained or not.
+    std::set<crash_key> limited_;
     /// Endpoints whose crashes were withdrawn, with the time up to which.
     std::map<endpoint_id, time_point> survivors_;
     std::vector<pending_note> unreported_;
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -92,6 +92,10 @@
 };
 std::string_view to_string(refusal reason);
 
+/// Keys of the parts of a prompt that may crash the engines that answer on
+/// them: all but the last one, which belongs to the request or its session.
+std::vector<crash_key> shared_part_keys(std::span<const prompt_part> parts);
+
 /// The endpoint chosen for one attempt, with the inputs of the choice.
 struct placement_decision
 {
@@ -324,14 +328,16 @@
     /// Records that the connection of an attempt broke before the response was
     /// complete. Counts as a crash once the endpoint is known to have
     /// terminated.
+    /// \param keys keys of the request that may have crashed the endpoint.
     void suspect_crash(time_point now, const placement_decision& placement,
-                       crash_key key);
+                       std::span<const crash_key> keys);
     /// Records that an endpoint has terminated.
     void note_terminated(time_point now, endpoint_id endpoint);
     /// Records that an endpoint executed a request and did not crash.
     void note_executed(time_point now, crash_key key);
     /// Refuses a quarantined request.
-    refusal_decision refuse_quarantined(time_point now, crash_key key);
+    refusal_decision refuse_quarantined(time_point now,
+                                        std::span<const crash_key> keys);
     [[nodiscard]] crash_tracker& crashes() { return crashes_; }
     [[nodiscard]] const crash_tracker& crashes() const { return crashes_; }
 
--- a/packages/core/lib/crash_key.cpp
+++ b/packages/core/lib/crash_key.cpp
@@ -50,6 +50,13 @@
     return crash_key(value);
 }
 
+crash_key crash_key_of_part(std::uint64_t part)
+{
+    // Keeps parts apart from requests. The part's key is a digest already.
+    static constexpr std::uint64_t part_mark = 0x9e3779b97f4a7c15;
+    return crash_key(part ^ part_mark);
+}
+
 std::string to_string(crash_key key)
 {
     std::array<char, 2 * sizeof(std::uint64_t) + 1> text{};
--- a/packages/core/lib/crash_tracker.cpp
+++ b/packages/core/lib/crash_tracker.cpp
@@ -3,6 +3,7 @@
 #include "sycamorelock/core/crash_tracker.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace sycamorelock::core
@@ -127,6 +128,7 @@
         known.crashes.begin(), known.crashes.end(), counted.at,
         [](time_point at, const crash& each) { return at < each.at; });
     known.crashes.insert(place, counted);
+    update_limited(key, known);
     const duration age = now - counted.at;
     emit({crash_event::change::counted, key, counted.endpoint,
           known.crashes.size(), age, is_remote});
@@ -143,6 +145,7 @@
 {
     const bool was_quarantined = has_reached_limit(from);
     std::erase_if(from.crashes, is_void);
+    update_limited(key, from);
     from.used_at = std::max(from.used_at, now);
     if (was_quarantined && !has_reached_limit(from))
         emit({crash_event::change::released, key, endpoint_id(),
@@ -190,19 +193,89 @@
     return changed;
 }
 
+bool crash_tracker::is_stronger(const record& one, const record& other)
+{
+    if (one.crashes.size() != other.crashes.size())
+        return one.crashes.size() > other.crashes.size();
+    return one.succeeded_at < other.succeeded_at;
+}
+
+bool crash_tracker::is_explained(crash_key key, const record& known) const
+{
+    const auto explains = [&](crash_key each, endpoint_id endpoint)
+    {
+        if (each == key)
+            return false;
+        const record& candidate = keys_.at(each);
+        return is_stronger(candidate, known) &&
+               std::any_of(candidate.crashes.begin(), candidate.crashes.end(),
+                           [endpoint](const crash& counted)
+                           { return counted.endpoint == endpoint; });
+    };
+    return std::all_of(known.crashes.begin(), known.crashes.end(),
+                       [&](const crash& counted)
+                       {
+                           return std::any_of(
+                               limited_.begin(), limited_.end(),
+                               [&](crash_key each)
+                               { return explains(each, counted.endpoint); });
+                       });
+}
+
+bool crash_tracker::is_ambiguous(crash_key key, const record& known) const
+{
+    const auto has_same_crashes = [&](const record& candidate)
+    {
+        return candidate.crashes.size() == known.crashes.size() &&
+               std::equal(known.crashes.begin(), known.crashes.end(),
+                          candidate.crashes.begin(),
+                          [](const crash& one, const crash& other)
+                          { return one.endpoint == other.endpoint; });
+    };
+    return std::any_of(limited_.begin(), limited_.end(),
+                       [&](crash_key each) {
+                           return each != key &&
+                                  has_same_crashes(keys_.at(each));
+                       });
+}
+
+const crash_tracker::record*
+crash_tracker::find_quarantined(crash_key key) const
+{
+    if (!limited_.contains(key))
+        return nullptr;
+    const record& known = keys_.at(key);
+    return is_explained(key, known) ? nullptr : &known;
+}
+
 bool crash_tracker::is_quarantined(crash_key key) const
 {
-    const auto found = keys_.find(key);
-    return found != keys_.end() && has_reached_limit(found->second);
+    return find_quarantined(key) != nullptr;
 }
 
-time_point crash_tracker::probe_due(const record& known)
+bool crash_tracker::is_any_quarantined(std::span<const crash_key> keys) const
+{
+    return std::any_of(keys.begin(), keys.end(),
+                       [this](crash_key each) { return is_quarantined(each); });
+}
+
+void crash_tracker::update_limited(crash_key key, const record& known)
+{
+    if (has_reached_limit(known))
+        limited_.insert(key);
+    else
+        limited_.erase(key);
+}
+
+time_point crash_tracker::probe_due(crash_key key, const record& known) const
 {
     // The time from the first crash to the last one is that of all probes so
     // far, so that the delay doubles without a counter.
     const duration span = known.crashes.back().at - known.crashes.front().at;
+    const duration min_delay =
+        is_ambiguous(key, known) ? min_ambiguous_probe_delay : min_probe_delay;
     return known.crashes.back().at +
-           std::clamp(2 * span, min_probe_delay, max_probe_delay);
+           std::clamp(2 * span, min_delay, max_probe_delay);
 }
 
 bool crash_tracker::is_chosen(crash_key key, std::int64_t period) const
@@ -218,35 +291,56 @@
                         { return each != self_ && rank(each) > own; });
 }
 
-crash_tracker::admission crash_tracker::admit(time_point now, crash_key key)
+bool crash_tracker::may_probe(time_point now, crash_key key,
+                              const record& known) const
 {
-    const auto found = keys_.find(key);
-    if (found == keys_.end() || !has_reached_limit(found->second))
-        return admission::admitted;
-    record& known = found->second;
-    known.used_at = now;
-    const duration since_due = now - probe_due(known);
+    const duration since_due = now - probe_due(key, known);
     if (since_due < duration(0))
-        return admission::refused;
+        return false;
     const std::int64_t period = since_due / probe_period;
     const duration within = since_due % probe_period;
     const bool is_inside =
         within >= probe_margin && within < probe_period - probe_margin;
-    if (!is_inside || known.probed_period == period || !is_chosen(key, period))
+    return is_inside && known.probed_period != period && is_chosen(key, period);
+}
+
+crash_tracker::admission crash_tracker::admit(time_point now,
+                                              std::span<const crash_key> keys)
+{
+    if (limited_.empty())
+        return admission::admitted;
+    std::vector<crash_key> quarantined;
+    std::copy_if(keys.begin(), keys.end(), std::back_inserter(quarantined),
+                 [this](crash_key each) { return is_quarantined(each); });
+    if (quarantined.empty())
+        return admission::admitted;
+    for (const crash_key each : quarantined)
+        keys_.at(each).used_at = now;
+    // A probe with several quarantined keys could not tell which one crashes
+    // its endpoint.
+    const crash_key key = quarantined.front();
+    record& known = keys_.at(key);
+    if (quarantined.size() > 1 || !may_probe(now, key, known))
         return admission::refused;
-    known.probed_period = period;
+    known.probed_period = (now - probe_due(key, known)) / probe_period;
     emit({crash_event::change::probed, key, endpoint_id(), known.crashes.size(),
           now - known.crashes.back().at, false});
     return admission::probe;
 }
 
-duration crash_tracker::time_to_probe(time_point now, crash_key key) const
+duration crash_tracker::time_to_probe(time_point now,
+                                      std::span<const crash_key> keys) const
 {
-    const auto found = keys_.find(key);
-    if (found == keys_.end() || !has_reached_limit(found->second))
-        return duration(0);
-    const duration left = probe_due(found->second) - now;
-    return left > duration(0) ? left : probe_period;
+    duration longest(0);
+    for (const crash_key key : keys)
+    {
+        const record* known = find_quarantined(key);
+        if (known == nullptr)
+            continue;
+        const duration left = probe_due(key, *known) - now;
+        longest = std::max(longest, left > duration(0) ? left : probe_period);
+    }
+    return longest;
 }
 
 void crash_tracker::add_remote(time_point now,
@@ -311,9 +405,9 @@
 
 std::size_t crash_tracker::quarantined() const
 {
-    return static_cast<std::size_t>(std::count_if(
-        keys_.begin(), keys_.end(),
-        [](const auto& each) { return has_reached_limit(each.second); }));
+    return static_cast<std::size_t>(
+        std::count_if(limited_.begin(), limited_.end(),
+                      [this](crash_key each) { return is_quarantined(each); }));
 }
 
 void crash_tracker::drop_excess_keys()
@@ -324,6 +418,7 @@
         std::min_element(keys_.begin(), keys_.end(),
                          [](const auto& one, const auto& other)
                          { return one.second.used_at < other.second.used_at; });
+    limited_.erase(oldest->first);
     keys_.erase(oldest);
     ++dropped_;
 }
@@ -335,12 +430,15 @@
     std::erase_if(survivors_, [now](const auto& each)
                   { return now - each.second > crash_lifetime; });
     std::erase_if(keys_,
-                  [now](const auto& each)
+                  [this, now](const auto& each)
                   {
                       const duration lifetime = has_reached_limit(each.second)
                                                     ? quarantine_lifetime
                                                     : crash_lifetime;
-                      return now - each.second.used_at > lifetime;
+                      if (now - each.second.used_at <= lifetime)
+                          return false;
+                      limited_.erase(each.first);
+                      return true;
                   });
 }
 
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -370,6 +370,12 @@
 {
     ledger_.begin(placement.request_load);
     crashes_.note_response(now, placement.request_load.endpoint, sent);
+    if (!crashes_.empty())
+    {
+        // An engine that crashes on a part does so before its first token.
+        for (const crash_key key : shared_part_keys(request.parts))
+            note_executed(now, key);
+    }
     const double observed_first_token_ms = to_ms(now - sent);
     const auto found = endpoints_.find(placement.request_load.endpoint);
     if (found != endpoints_.end())
--- a/packages/core/lib/direct/router_crashes.cpp
+++ b/packages/core/lib/direct/router_crashes.cpp
@@ -7,13 +7,23 @@
 namespace sycamorelock::core::direct
 {
 
+std::vector<crash_key> shared_part_keys(std::span<const prompt_part> parts)
+{
+    std::vector<crash_key> keys;
+    for (std::size_t i = 0; i + 1 < parts.size(); ++i)
+        keys.push_back(crash_key_of_part(parts[i].key));
+    return keys;
+}
+
 void router::suspect_crash(time_point now, const placement_decision& placement,
-                           crash_key key)
+                           std::span<const crash_key> keys)
 {
     const auto found = endpoints_.find(placement.request_load.endpoint);
     const bool may_have_crashed =
         found != endpoints_.end() && !found->second.is_leaving();
-    if (may_have_crashed)
+    if (!may_have_crashed)
+        return;
+    for (const crash_key key : keys)
         crashes_.suspect(now, found->first, key);
 }
 
@@ -29,9 +39,11 @@
     report_is_urgent_ = report_is_urgent_ || crashes_.has_unreported();
 }
 
-refusal_decision router::refuse_quarantined(time_point now, crash_key key)
+refusal_decision router::refuse_quarantined(time_point now,
+                                            std::span<const crash_key> keys)
 {
-    return refuse_until(refusal::quarantined, crashes_.time_to_probe(now, key));
+    return refuse_until(refusal::quarantined,
+                        crashes_.time_to_probe(now, keys));
 }
 
 } // namespace sycamorelock::core::direct
--- a/packages/core/unittests/crash_tracker_test.cpp
+++ b/packages/core/unittests/crash_tracker_test.cpp
@@ -280,3 +280,63 @@
                  3 * crash_tracker::max_keys);
     cr_expect(tracker.empty());
 }
+
+// Guards against the quarantine of a part that sound requests share, because it
+// is open at every engine that crashes under another part.
+Test(crash_tracker, a_key_whose_crashes_another_one_explains_is_not_quarantined)
+{
+    crash_tracker tracker(self);
+    for (int i = 0; i < 4; ++i)
+    {
+        const time_point now = start + milliseconds(100 * i);
+        tracker.suspect(now, endpoint_number(i), bad);
+        if (i > 0)
+            tracker.suspect(now, endpoint_number(i), other);
+        tracker.note_terminated(now, endpoint_number(i));
+    }
+    cr_expect(tracker.is_quarantined(bad));
+    cr_expect_not(tracker.is_quarantined(other));
+    // A crash of its own is not explained.
+    crash(tracker, start + seconds(1), 9, other);
+    cr_expect(tracker.is_quarantined(other));
+}
+
+// Guards against a sound part that stays quarantined because it was open at the
+// same engines as the bad one: a success shows which of them is sound.
+Test(crash_tracker, equal_crashes_count_for_the_key_without_a_success)
+{
+    crash_tracker tracker(self);
+    crash(tracker, start, 20, other);
+    tracker.note_success(start + milliseconds(10), other);
+    for (int i = 0; i < 3; ++i)
+    {
+        const time_point now = start + milliseconds(100 * (i + 1));
+        tracker.suspect(now, endpoint_number(i), bad);
+        tracker.suspect(now, endpoint_number(i), other);
+        tracker.note_terminated(now, endpoint_number(i));
+    }
+    cr_expect(tracker.is_quarantined(bad));
+    cr_expect_not(tracker.is_quarantined(other));
+}
+
+// Guards against half a minute without service for a sound part that only
+// requests with the bad one had used.
+Test(crash_tracker, ambiguous_keys_are_probed_earlier_one_at_a_time)
+{
+    crash_tracker tracker(self);
+    for (int i = 0; i < 3; ++i)
+    {
+        const time_point now = start + milliseconds(100 * i);
+        tracker.suspect(now, endpoint_number(i), bad);
+        tracker.suspect(now, endpoint_number(i), other);
+        tracker.note_terminated(now, endpoint_number(i));
+    }
+    const std::vector<crash_key> both{bad, other};
+    const std::vector<crash_key> sound{other};
+    const time_point later = start + seconds(7);
+    cr_expect(tracker.admit(later, both) == crash_tracker::admission::refused);
+    cr_expect(tracker.admit(later, sound) == crash_tracker::admission::probe);
+    tracker.note_success(later + milliseconds(100), other);
+    cr_expect(tracker.is_quarantined(bad));
+    cr_expect_not(tracker.is_quarantined(other));
+}
