--- a/test/integration/crashes_test.cpp
+++ b/test/integration/crashes_test.cpp
@@ -254,6 +254,21 @@
     check_crashes(fleet);
 }
 
+// Guards against a crash that is taken for the end of an empty answer: the
+// stream has neither a length nor chunks, and its engine ends before any event.
+Test(crashes, an_unframed_stream_without_events_is_no_whole_answer)
+{
+    const direct_plan plan = plan_of(3, 8, 1);
+    direct_fleet fleet(plan);
+    fleet.set_crash(rule_before_event(1));
+    for (std::size_t i = 0; i < plan.engines; ++i)
+        fleet.engine(i).set_fault(answer_fault::unframed);
+    const direct_answer got = ask(bad_call(fleet, 0));
+    cr_expect_neq(got.status, 200U);
+    insist(fleet, {0, 1, 2}, "/plan/x", seconds(6));
+    check_crashes(fleet);
+}
+
 // Guards against BUDGET as above at endpoints without prompts.
 Test(crashes, a_request_that_crashes_plain_endpoints_is_not_sent_on)
 {
