An unframed stream that ends before any event is cut

An engine that crashed before the first event of a stream without length or chunks gave its caller an empty answer that looked whole, and its crash did not count. Without a length, the end of an empty stream cannot be told from a crash, so it counts as one that broke off, unless the caller takes up a stream whose events it may have already.

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -543,6 +543,11 @@
         const bool done = parser_->is_done();
         if (done && events_.torn())
             co_return stopped("event_cut");
+        // Without a length, an endpoint that crashed before the first event
+        // looks like one that had nothing to send.
+        const bool is_empty = events_.count() == 0 && !request_.meta.last_event;
+        if (done && parser_->need_eof() && is_empty)
+            co_return stopped("stream_cut");
         if (whole.empty() && !done)
             continue;
         if (!whole.empty())
