Checks of ended endpoints hold no limit of the traffic thread's watchdog

A check that is pending when the process ends would lift its limit after the watchdog is gone; it has a timer of its own.

--- a/packages/adapters/lib/direct/termination_check.cpp
+++ b/packages/adapters/lib/direct/termination_check.cpp
@@ -3,6 +3,8 @@
 
 #include "sycamorelock/adapters/clocks.hpp"
 
+#include <boost/asio/steady_timer.hpp>
+
 namespace sycamorelock::adapters::direct
 {
 
@@ -19,12 +21,12 @@
 struct termination_check::pending_check
 {
     explicit pending_check(asio::io_context& io)
-        : channel(std::make_unique<endpoint_channel>(io))
+        : channel(std::make_unique<endpoint_channel>(io)), timeout(io)
     {
     }
 
     std::unique_ptr<endpoint_channel> channel;
-    watchdog::limit limit;
+    asio::steady_timer timeout;
     core::endpoint_id endpoint;
 };
 
@@ -36,15 +38,16 @@
     auto check = std::make_shared<pending_check>(context_.io);
     check->endpoint = id;
     ++context_.metrics.termination_checks;
-    context_.limits.set(check->limit, now() + check_timeout,
-                        [pending = std::weak_ptr(check)]
-                        {
-                            const auto open = pending.lock();
-                            if (!open)
-                                return;
-                            error_code ignored;
-                            open->channel->socket.close(ignored);
-                        });
+    check->timeout.expires_after(check_timeout);
+    check->timeout.async_wait(
+        [pending = std::weak_ptr(check)](error_code cancelled)
+        {
+            const auto open = pending.lock();
+            if (cancelled || !open || !open->channel)
+                return;
+            error_code ignored;
+            open->channel->socket.close(ignored);
+        });
     check->channel->socket.async_connect(parse_address(endpoint.address),
                                          [this, check](error_code error)
                                          { finish(check, error); });
@@ -53,7 +56,7 @@
 void termination_check::finish(const std::shared_ptr<pending_check>& check,
                                error_code error)
 {
-    check->limit.lift();
+    check->timeout.cancel();
     running_.erase(check->endpoint);
     if (error == asio::error::connection_refused)
         context_.router.note_terminated(now(), check->endpoint);
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -113,6 +113,7 @@
 {
     warmup_allowances_.set_members(now, members);
     std::vector<instance_id> instances;
+    instances.reserve(members.size());
     for (const fleet_member& each : members)
         instances.push_back(each.instance);
     crashes_.set_members(std::move(instances));
