--- a/packages/core/include/sycamorelock/core/crash_tracker.hpp
+++ b/packages/core/include/sycamorelock/core/crash_tracker.hpp
@@ -92,7 +92,7 @@
     static constexpr duration crash_lifetime = std::chrono::minutes(2);
     /// Time from the last crash until a quarantined request may be tried again,
     /// in case the quarantine is wrong or the endpoints have been corrected. It
-    /// doubles with each probe that crashes its endpoint.
+    /// at least doubles with each probe that crashes its endpoint.
     static constexpr duration min_probe_delay = std::chrono::seconds(30);
     /// The same for a key whose crashes are those of another key as well.
     /// Either of them may be sound, so a probe is worth more.
--- a/packages/core/lib/crash_tracker.cpp
+++ b/packages/core/lib/crash_tracker.cpp
@@ -270,7 +270,7 @@
 time_point crash_tracker::probe_due(crash_key key, const record& known) const
 {
     // The time from the first crash to the last one is that of all probes so
-    // far, so that the delay doubles without a counter.
+    // far, so that the delay at least doubles without a counter.
     const duration span = known.crashes.back().at - known.crashes.front().at;
     const duration min_delay =
         is_ambiguous(key, known) ? min_ambiguous_probe_delay : min_probe_delay;
