Endpoints' load is read; admission and the cost of a placement are modules

What the parts of the hard load share: the load that an endpoint reports in its responses with the slowdown of its machine (endpoint_load, slowdown_tracker, router::reports_slowdown), the terms of a placement's cost (placement_cost), the admission of a request as a concept with today's policy (admission), and the urgency of the account or route in the request's profile. Nothing decides by the load or the urgency yet.

--- a/packages/adapters/include/sycamorelock/adapters/direct/dialect.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/dialect.hpp
@@ -4,6 +4,7 @@
 
 #include "sycamorelock/core/direct/catalogue.hpp"
 #include "sycamorelock/core/direct/drained_domains.hpp"
+#include "sycamorelock/core/direct/endpoint_load.hpp"
 #include "sycamorelock/core/direct/endpoint_registry.hpp"
 #include "sycamorelock/core/direct/prefix_cache.hpp"
 #include "sycamorelock/core/direct/unreadable_entries.hpp"
@@ -70,6 +71,8 @@
     /// The endpoint wants no requests from this instance for so long; zero if
     /// it does not say so.
     milliseconds rest{0};
+    /// Load of the endpoint; empty if it reports none that can be read.
+    std::optional<core::direct::endpoint_load> load;
 };
 
 /// An entry of the store that is gone.
--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -322,6 +322,8 @@
                             {"revision", std::to_string(from.revision)},
                             {"source", "answer"},
                             {"request", request_.meta.attempt_id}});
+    if (answer.load)
+        context_.router.note_load(now(), from, *answer.load);
     if (answer.rest.count() == 0)
         return;
     context_.router.note_backoff(now(), from, answer.rest);
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -14,11 +14,13 @@
 #include "sycamorelock/core/direct/hold_time.hpp"
 #include "sycamorelock/core/direct/load_ledger.hpp"
 #include "sycamorelock/core/direct/mechanism.hpp"
+#include "sycamorelock/core/direct/placement_cost.hpp"
 #include "sycamorelock/core/direct/prefix_cache.hpp"
 #include "sycamorelock/core/direct/prompt_fetch.hpp"
 #include "sycamorelock/core/direct/prompt_homes.hpp"
 #include "sycamorelock/core/direct/rate_meter.hpp"
 #include "sycamorelock/core/direct/slow_start.hpp"
+#include "sycamorelock/core/direct/slowdown_tracker.hpp"
 #include "sycamorelock/core/direct/stream_releases.hpp"
 #include "sycamorelock/core/retry_budget.hpp"
 
@@ -49,6 +51,9 @@
     /// Release that must continue the stream of a resumed request; empty for a
     /// new request, which any release may serve.
     std::optional<release_id> release;
+    /// Urgency of the client account, or else of the route; 0 is the most
+    /// urgent. Set by `router::admit`.
+    unsigned urgency = 1;
 
     /// Tokens charged against the client account's share. A generated token
     /// costs an engine about twice as much as a prompt token, so it counts
@@ -268,6 +273,13 @@
     /// Records that an endpoint announced in a response that it is leaving.
     /// Returns whether this was unknown before.
     bool note_leaving(time_point now, const endpoint_record& from);
+    /// Records the load that an endpoint reported in a response.
+    void note_load(time_point now, const endpoint_record& from,
+                   const endpoint_load& load);
+    /// Whether an endpoint of the service reports how much its machine is
+    /// slowed at present. Decisions about uneven endpoints and scarce room
+    /// apply to such services.
+    [[nodiscard]] bool reports_slowdown(service_id service) const;
     /// Records that an endpoint declined a request and requested back-off for
     /// a time.
     void note_backoff(time_point now, const endpoint_record& from,
@@ -462,9 +474,7 @@
         double free_slots = 0;
         double ms_per_request = 1;
         std::optional<fetch_plan> fetch;
-        /// Predicted time to the first token plus the estimated cost to other
-        /// requests, in ms.
-        double cost = 0;
+        placement_cost cost;
     };
     /// The engine that holds the longest cached prefix of a prompt.
     struct prompt_source
@@ -592,9 +602,11 @@
     {
         return options_.mechanisms.is_enabled(which);
     }
+    [[nodiscard]] unsigned urgency_of(const request_profile& request) const;
     /// Longest allowed wait, in ms; a request with a longer one is refused.
     /// Negative if the request is refused whatever the wait.
-    [[nodiscard]] double max_wait_ms(const request_profile& request,
+    [[nodiscard]] double max_wait_ms(time_point now,
+                                     const request_profile& request,
                                      const service& service_info) const;
     /// Refuses a request. The retry delay is drawn from 0.5 to 1.5 times
     /// `pause_ms`, so that callers return at different times.
@@ -644,6 +656,7 @@
     slow_start slow_start_;
     allowance_shares warmup_allowances_;
     endpoint_notices notices_;
+    slowdown_tracker slowdowns_;
     load_ledger ledger_;
     prefix_cache cache_;
     prompt_homes prompt_homes_;
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -191,6 +191,22 @@
     apply_notices(from.id());
 }
 
+void router::note_load(time_point now, const endpoint_record& from,
+                       const endpoint_load& load)
+{
+    const endpoint_id endpoint = from.id();
+    if (endpoints_.contains(endpoint))
+        slowdowns_.note_load(now, endpoint, load);
+}
+
+bool router::reports_slowdown(service_id service) const
+{
+    const endpoint_list listed = endpoints_of(service);
+    return std::any_of(listed.begin(), listed.end(),
+                       [this](const endpoint_state* each)
+                       { return slowdowns_.reports_slowdown(each->id); });
+}
+
 void router::apply_notices(endpoint_id endpoint)
 {
     const auto found = endpoints_.find(endpoint);
@@ -257,6 +273,7 @@
         {
             cache_.forget(id);
             fetch_links_.forget(id);
+            slowdowns_.forget(id);
             slow_start_.note_unlisted(now, id);
             if (!state.is_leaving())
                 note_terminated(now, id);
@@ -291,6 +308,7 @@
         if (found != budgets_.end())
             found->second.earn();
     }
+    request.urgency = urgency_of(request);
     if (!request.account || request.parts.empty())
         return;
     request.standing = account_shares_.record_demand(
@@ -298,6 +316,17 @@
         config_->limits.tokens_per_second);
 }
 
+unsigned router::urgency_of(const request_profile& request) const
+{
+    if (request.account && config_)
+    {
+        const auto found = config_->accounts.find(*request.account);
+        if (found != config_->accounts.end() && found->second.urgency)
+            return *found->second.urgency;
+    }
+    return request.route_config->urgency;
+}
+
 service_id router::pick_service(const route& request_route)
 {
     double sum = 0;
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -1,5 +1,6 @@
 // Chooses the endpoint of a request by the predicted time to the first token
 // and the estimated cost to other requests, or refuses the request.
+#include "sycamorelock/core/direct/admission.hpp"
 #include "sycamorelock/core/direct/router.hpp"
 #include "sycamorelock/core/direct/unseen_requests.hpp"
 
@@ -33,20 +34,6 @@
 /// Maximum of the term that breaks ties, in ms. It is derived from a hash, so
 /// that all instances agree on the order of the endpoints.
 constexpr double max_tie_break_ms = 15;
-/// Longest allowed wait for earlier prompts, as a fraction of the tightest
-/// objective of the service. The first applies to accounts within the share
-/// that operators grant them, the second to accounts beyond it that have
-/// consumed at most their fair part of the engines' throughput. The second is
-/// small, so that consumption beyond the granted share hardly delays others.
-constexpr double max_wait_fraction = 0.6;
-constexpr double max_wait_fraction_beyond_share = 0.15;
-/// An account that has consumed this multiple of its fair part is refused even
-/// if no request waits, as long as other accounts demand more than they
-/// receive: the throughput it leaves goes to them. Without this limit, an
-/// account whose prompts were cached on idle engines received three times as
-/// much as one whose engines were busy.
-constexpr double far_beyond_share_ratio = 1.5;
-constexpr double max_wait_fraction_far_beyond_share = -0.01;
 /// Default mean processing time, in ms, of a request to a plain service, used
 /// to predict the wait for a slot.
 constexpr double default_plain_work_ms = 30;
@@ -62,21 +49,6 @@
 /// Requests that may wait at a plain endpoint, as a multiple of its slots.
 constexpr double max_plain_backlog = 3.0;
 
-/// Longest allowed wait as a fraction of the objective.
-double allowed_wait_fraction(const account_standing& standing,
-                             const mechanism_set& mechanisms)
-{
-    if (standing.owed <= 1 || !mechanisms.is_enabled(mechanism::fair_shares))
-        return max_wait_fraction;
-    if (!mechanisms.is_enabled(mechanism::far_beyond))
-        return max_wait_fraction_beyond_share;
-    const double excess = std::clamp(
-        (standing.fair - 1) / (far_beyond_share_ratio - 1), 0.0, 1.0);
-    return max_wait_fraction_beyond_share +
-           excess * (max_wait_fraction_far_beyond_share -
-                     max_wait_fraction_beyond_share);
-}
-
 } // namespace
 
 std::vector<const router::endpoint_state*>
@@ -159,12 +131,12 @@
                                  result.state->id, tokens);
     const double prefill_ms =
         context.prefill_ms(context.source.tokens) * result.slowdown;
-    const double cost = result.wait_ms +
-                        transfer_ms * (1 + transfer_cost_factor) +
-                        prefill_ms * (1 + prefill_cost_factor());
-    if (cost >= result.cost)
+    const double transfer_cost = transfer_ms * (1 + transfer_cost_factor);
+    const double prefill_cost = prefill_ms * (1 + prefill_cost_factor());
+    if (transfer_cost + prefill_cost >= result.cost.prefill)
         return;
-    result.cost = cost;
+    result.cost.transfer = transfer_cost;
+    result.cost.prefill = prefill_cost;
     result.cached = context.source.tokens;
     result.prefill_ms = prefill_ms;
     result.fetch =
@@ -192,8 +164,8 @@
     if (work.tokens + context.request.prompt_tokens >
         context.service_info.kv_capacity_tokens)
         result.wait_ms += to_ms(std::chrono::milliseconds(1000));
-    result.cost =
-        result.wait_ms + result.prefill_ms * (1 + prefill_cost_factor());
+    result.cost.wait = result.wait_ms;
+    result.cost.prefill = result.prefill_ms * (1 + prefill_cost_factor());
     evaluate_fetch(context, result);
 }
 
@@ -206,7 +178,8 @@
     result.ms_per_request = result.prefill_ms / slots;
     result.wait_ms =
         std::max(0.0, 1 - result.free_slots) * result.ms_per_request;
-    result.cost = result.wait_ms + result.ms_per_request * (waiting + 1);
+    result.cost.wait = result.wait_ms;
+    result.cost.prefill = result.ms_per_request * (waiting + 1);
 }
 
 router::candidate router::evaluate(const request_context& context,
@@ -221,14 +194,14 @@
     else
         evaluate_plain(result);
     if (uses(mechanism::failure_price))
-        result.cost +=
+        result.cost.failure =
             endpoint.health.failure_rate(context.now) * failure_cost_ms;
     if (endpoint.record.domain != options_.domain)
-        result.cost += remote_domain_cost_ms;
+        result.cost.remote_domain = remote_domain_cost_ms;
     const std::uint64_t key = context.request.parts.empty()
                                   ? options_.seed
                                   : shared_key(context.request.parts);
-    result.cost += rank_of(key, endpoint.id) * max_tie_break_ms;
+    result.cost.tie_break = rank_of(key, endpoint.id) * max_tie_break_ms;
     return result;
 }
 
@@ -282,7 +255,7 @@
         const double wait_ms =
             std::max(0.0, 1 - each.free_slots) * each.ms_per_request;
         offers.push_back(
-            {each.cost - wait_ms,
+            {each.cost.total() - wait_ms,
              each.free_slots + unreported_completions(context, each),
              each.ms_per_request});
     }
@@ -318,7 +291,7 @@
     return std::move(
         *std::min_element(evaluated.begin(), evaluated.end(),
                           [](const candidate& a, const candidate& b)
-                          { return a.cost < b.cost; }));
+                          { return a.cost.total() < b.cost.total(); }));
 }
 
 double router::prefill_cost_factor() const
@@ -326,13 +299,21 @@
     return uses(mechanism::reread_price) ? repeated_prefill_cost_factor : 0;
 }
 
-double router::max_wait_ms(const request_profile& request,
+double router::max_wait_ms(time_point now, const request_profile& request,
                            const service& service_info) const
 {
+    const double time_left_ms = to_ms(request.deadline - now);
     if (!service_info.is_engine())
-        return max_plain_backlog * default_plain_work_ms;
-    return to_ms(config_->tightest_objective(service_info.id)) *
-           allowed_wait_fraction(request.standing, options_.mechanisms);
+        return std::min(max_plain_backlog * default_plain_work_ms,
+                        time_left_ms);
+    admission_query query;
+    query.objective_ms = to_ms(request.route_config->objective);
+    query.tightest_objective_ms =
+        to_ms(config_->tightest_objective(service_info.id));
+    query.time_left_ms = time_left_ms;
+    query.standing = request.standing;
+    query.urgency = request.urgency;
+    return uniform_admission(options_.mechanisms).max_wait_ms(query);
 }
 
 refusal_decision router::refuse(refusal reason, double pause_ms, double wait_ms)
@@ -403,9 +384,9 @@
 {
     // The recent consumption of the account decays exponentially; requests are
     // refused until it is back at the limit.
-    const double decay_ms =
-        to_ms(rate_meter::time_constant) *
-        std::log(request.standing.fair / far_beyond_share_ratio);
+    const double decay_ms = to_ms(rate_meter::time_constant) *
+                            std::log(request.standing.fair /
+                                     uniform_admission::far_beyond_share_ratio);
     return refuse(refusal::beyond_share, decay_ms, 0);
 }
 
@@ -419,10 +400,9 @@
     const service* service_info = find_service(target_service);
     if (service_info == nullptr)
         return refuse_without_endpoint(now, request, target_service);
-    const double allowed_ms =
-        repeated ? std::numeric_limits<double>::infinity()
-                 : std::min(max_wait_ms(request, *service_info),
-                            to_ms(request.deadline - now));
+    const double allowed_ms = repeated
+                                  ? std::numeric_limits<double>::infinity()
+                                  : max_wait_ms(now, request, *service_info);
     // A negative limit refuses every request, so endpoints are not evaluated:
     // an account that floods the instance must not take processor time from
     // other accounts.
