Traffic to another failure domain has a price

An operator may state the longest delay that keeping a kilobyte within the failure domain is worth (remote_ms_per_kb). Where it is stated and an endpoint of the service reports the slowdown of its machine, a placement in another failure domain costs that for the request's body and the expected answer, which is averaged by route; the tie-break never outweighs it. Mechanism domain_price.

Cause: the domain counted 3 ms, the tie-break up to 15, so chance decided. Ruled out: a change elsewhere.

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -171,7 +171,11 @@
     else if (waits_)
         return end;
     release();
-    context_.router.finished(now(), placed_, outcome_of(end));
+    const core::direct::attempt_outcome outcome = outcome_of(end);
+    context_.router.finished(now(), placed_, outcome);
+    if (outcome == core::direct::attempt_outcome::succeeded)
+        context_.router.note_answer(request_.profile,
+                                    static_cast<double>(answer_size_));
     return end;
 }
 
@@ -436,6 +440,8 @@
     auto [error, bytes] = co_await http::async_read_some(
         channel_->socket, channel_->buffer, *parser_, as_result);
     piece_size_ = piece_.size() - body.size;
+    if (!skipping_)
+        answer_size_ += piece_size_;
     if (!error || piece_size_ > 0)
         note_read();
     if (piece_size_ > 0 && awaited_.count() > 0)
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -169,6 +169,8 @@
     std::unique_ptr<answer_parser> parser_;
     std::array<char, 16 * 1024> piece_;
     std::size_t piece_size_ = 0;
+    /// Size of the answer's body as far as it has been read.
+    std::size_t answer_size_ = 0;
     held_answer held_;
     watchdog::limit silence_;
     /// Time within which something is expected of the endpoint; zero for none.
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -343,6 +343,7 @@
     profile.parts = std::move(request.meta.parts);
     profile.prompt_tokens = request.meta.prompt_tokens;
     profile.output_tokens = request.meta.output_tokens;
+    profile.body_bytes = static_cast<double>(request.message.body().size());
     profile.deadline =
         profile.arrived +
         std::min(request.meta.time_left.value_or(route_config->timeout),
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -196,6 +196,8 @@
         options.seed = seed;
         options.retry_ratio = settings.retry_ratio;
         options.retry_slack = settings.retry_slack;
+        options.remote_price =
+            core::direct::domain_price(settings.remote_ms_per_kb);
         options.self = core::instance_id::of(settings.peer_address);
         for (const std::string& name : settings.domains)
             options.domains.insert(core::domain_id::of(name));
--- a/packages/core/include/sycamorelock/core/direct/mechanism.hpp
+++ b/packages/core/include/sycamorelock/core/direct/mechanism.hpp
@@ -50,6 +50,9 @@
     /// A prompt whose prefill is in progress counts only with its predicted
     /// remaining time.
     reading_progress,
+    /// Where operators state a price, traffic to another failure domain adds to
+    /// the cost of a placement.
+    domain_price,
 };
 
 /// Name of a mechanism in settings.
@@ -72,6 +75,7 @@
     mechanism_name{mechanism::cache_copies, "cache_copies"},
     mechanism_name{mechanism::unseen_requests, "unseen_requests"},
     mechanism_name{mechanism::reading_progress, "reading_progress"},
+    mechanism_name{mechanism::domain_price, "domain_price"},
 };
 
 /// Returns the mechanism with this name, or nullopt if there is none.
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -6,6 +6,7 @@
 #include "sycamorelock/core/crash_tracker.hpp"
 #include "sycamorelock/core/direct/account_shares.hpp"
 #include "sycamorelock/core/direct/catalogue.hpp"
+#include "sycamorelock/core/direct/domain_traffic.hpp"
 #include "sycamorelock/core/direct/endpoint_health.hpp"
 #include "sycamorelock/core/direct/endpoint_notices.hpp"
 #include "sycamorelock/core/direct/endpoint_registry.hpp"
@@ -42,6 +43,8 @@
     std::vector<prompt_part> parts;
     double prompt_tokens = 0;
     double output_tokens = 0;
+    /// Size of the request's body.
+    double body_bytes = 0;
     time_point arrived;
     /// Time at which the caller gives up.
     time_point deadline;
@@ -201,6 +204,7 @@
     /// Retries allowed in addition, over the whole fleet and the window of the
     /// rule.
     double retry_slack = 50;
+    domain_price remote_price;
     mechanism_set mechanisms;
 };
 
@@ -280,6 +284,11 @@
     /// slowed at present. Decisions about uneven endpoints and scarce room
     /// apply to such services.
     [[nodiscard]] bool reports_slowdown(service_id service) const;
+    /// Records the size of a complete answer to a request.
+    void note_answer(const request_profile& request, double bytes)
+    {
+        domain_traffic_.note_answer(request.route_config->name, bytes);
+    }
     /// Records that an endpoint declined a request and requested back-off for
     /// a time.
     void note_backoff(time_point now, const endpoint_record& from,
@@ -503,6 +512,9 @@
         prefill_cost_model figures;
         hold_time hold_estimate;
         prompt_source source;
+        /// Price, in ms, of serving the request in another failure domain; 0 if
+        /// that has none.
+        double remote_price_ms = 0;
 
         /// Mean time, in ms, for which a request of the service occupies a
         /// slot.
@@ -525,6 +537,9 @@
     void evaluate_engine(const request_context& context,
                          candidate& result) const;
     void evaluate_plain(candidate& result) const;
+    /// Whether the price of traffic between failure domains is part of the
+    /// decisions about a service.
+    [[nodiscard]] bool prices_domains(service_id service) const;
     /// Chooses the best of the endpoints that the request may be sent to.
     [[nodiscard]] std::optional<candidate>
     choose_endpoint(const request_context& context,
@@ -657,6 +672,7 @@
     allowance_shares warmup_allowances_;
     endpoint_notices notices_;
     slowdown_tracker slowdowns_;
+    domain_traffic domain_traffic_;
     load_ledger ledger_;
     prefix_cache cache_;
     prompt_homes prompt_homes_;
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -104,6 +104,7 @@
 router::router(router_options options)
     : options_(options), random_(options.seed),
       warmup_allowances_(options.self, options.domain, options.domains),
+      domain_traffic_(options.remote_price),
       crashes_(options.self)
 {
 }
@@ -123,6 +124,13 @@
 {
     update_stream_routes(now, *newer);
     config_ = std::move(newer);
+    domain_traffic_.keep_routes(
+        [this](const std::string& name)
+        {
+            return std::any_of(config_->routes.begin(), config_->routes.end(),
+                               [&name](const route& each)
+                               { return each.name == name; });
+        });
     update_default_estimates();
     for (auto& [id, state] : endpoints_)
         update_warmup_limit(state);
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -109,13 +109,25 @@
                                              const service& service_info) const
 {
     const auto learned = estimators_.find(service_info.id);
+    const double remote_price_ms =
+        prices_domains(service_info.id)
+            ? domain_traffic_.price_ms(request.route_config->name,
+                                       request.body_bytes)
+            : 0;
     return {now,
             request,
             service_info,
             learned == estimators_.end() ? prefill_cost_model()
                                          : learned->second.figures(),
             hold_time_of(service_info),
-            find_source(now, request, service_info)};
+            find_source(now, request, service_info),
+            remote_price_ms};
+}
+
+bool router::prices_domains(service_id service) const
+{
+    return domain_traffic_.is_priced() && uses(mechanism::domain_price) &&
+           reports_slowdown(service);
 }
 
 void router::evaluate_fetch(const request_context& context,
@@ -197,11 +209,17 @@
         result.cost.failure =
             endpoint.health.failure_rate(context.now) * failure_cost_ms;
     if (endpoint.record.domain != options_.domain)
-        result.cost.remote_domain = remote_domain_cost_ms;
+        result.cost.remote_domain =
+            remote_domain_cost_ms + context.remote_price_ms;
     const std::uint64_t key = context.request.parts.empty()
                                   ? options_.seed
                                   : shared_key(context.request.parts);
-    result.cost.tie_break = rank_of(key, endpoint.id) * max_tie_break_ms;
+    // A tie is not worth the price of leaving the failure domain.
+    const double tie_break_ms =
+        context.remote_price_ms > 0
+            ? std::min(max_tie_break_ms, context.remote_price_ms)
+            : max_tie_break_ms;
+    result.cost.tie_break = rank_of(key, endpoint.id) * tie_break_ms;
     return result;
 }
 
--- a/packages/settings/include/sycamorelock/settings/direct_settings.hpp
+++ b/packages/settings/include/sycamorelock/settings/direct_settings.hpp
@@ -36,6 +36,9 @@
     /// more than that in the window in which repeats are counted.
     double retry_ratio = 0;
     double retry_slack = 0;
+    /// Longest delay that operators accept to keep a kilobyte of traffic within
+    /// the failure domain; 0 if it has no price.
+    double remote_ms_per_kb = 0;
     std::chrono::milliseconds linger{0};
     /// Time from SIGTERM to the end, including `linger`.
     std::chrono::milliseconds shutdown{0};
--- a/packages/settings/lib/direct_settings.cpp
+++ b/packages/settings/lib/direct_settings.cpp
@@ -61,6 +61,7 @@
     result.warmup_slack = number_of(held, "warmup_slack");
     result.retry_ratio = number_of(held, "retry_ratio");
     result.retry_slack = number_of(held, "retry_slack");
+    result.remote_ms_per_kb = number_of(held, "remote_ms_per_kb");
     result.max_descriptors =
         static_cast<std::size_t>(integer_of(held, "max_descriptors"));
     result.log_level = text_of(held, "log_level");
--- a/packages/settings/lib/schema.cpp
+++ b/packages/settings/lib/schema.cpp
@@ -102,6 +102,11 @@
           "Share of the requests that the fleet may send a second time."},
     field{"retry_slack", number, false, 0, 1000000, "50", "",
           "Repeats allowed beyond that in ten seconds, over the fleet."},
+    field{"remote_ms_per_kb", number, false, 0, 10000, "0", "",
+          "Longest delay accepted to keep a kilobyte of requests and answers "
+          "within the failure domain, in milliseconds; 0: traffic between "
+          "failure domains has no price. Applies to services whose endpoints "
+          "report the slowdown of their machines."},
     field{"linger_ms", integer, false, 0, 600000, "3000", "",
           "Time after SIGTERM in which new connections are still served, in "
           "milliseconds."},
--- a/packages/settings/unittests/direct_settings_test.cpp
+++ b/packages/settings/unittests/direct_settings_test.cpp
@@ -83,3 +83,20 @@
     cr_assert_eq(found.size(), 1U);
     cr_expect_str_eq(found.front().path.c_str(), "process.switched_off");
 }
+
+Test(direct_settings, the_price_of_leaving_the_failure_domain_is_checked)
+{
+    cr_expect_float_eq(read_direct(good, "edge.yaml").remote_ms_per_kb, 0,
+                       1e-9);
+    const direct_settings priced =
+        read_direct(std::string(good) + "remote_ms_per_kb: 2.5\n", "edge.yaml");
+    cr_expect_float_eq(priced.remote_ms_per_kb, 2.5, 1e-9);
+    for (const char* wrong : {"-1", "1e9", "dear", "[1]"})
+    {
+        const auto found = findings_of(std::string(good) +
+                                       "remote_ms_per_kb: " + wrong + '\n');
+        cr_assert_eq(found.size(), 1U, "%s", wrong);
+        cr_expect_str_eq(found.front().path.c_str(),
+                         "process.remote_ms_per_kb");
+    }
+}
