Prompts have homes in the failure domain that asks for them

Where traffic between failure domains has a price, the two highest-ranked engines of the own domain are candidates besides the homes in common. What a copy of the shared prefix there is expected to save (requests from this domain while a cache keeps it, at the price of each) makes up for what the copy costs other requests, and for no more. How long a cache keeps a part comes from its latest eviction. Mechanism domain_homes.

Cause: three homes among all engines left three of four requests no choice.

--- a/packages/core/include/sycamorelock/core/direct/mechanism.hpp
+++ b/packages/core/include/sycamorelock/core/direct/mechanism.hpp
@@ -53,6 +53,10 @@
     /// Where operators state a price, traffic to another failure domain adds to
     /// the cost of a placement.
     domain_price,
+    /// Where operators state a price, a shared prompt prefix may also be
+    /// prefilled by engines of the own failure domain, if that is expected to
+    /// save more traffic than it costs.
+    domain_homes,
 };
 
 /// Name of a mechanism in settings.
@@ -76,6 +80,7 @@
     mechanism_name{mechanism::unseen_requests, "unseen_requests"},
     mechanism_name{mechanism::reading_progress, "reading_progress"},
     mechanism_name{mechanism::domain_price, "domain_price"},
+    mechanism_name{mechanism::domain_homes, "domain_homes"},
 };
 
 /// Returns the mechanism with this name, or nullopt if there is none.
--- a/packages/core/include/sycamorelock/core/direct/placement_cost.hpp
+++ b/packages/core/include/sycamorelock/core/direct/placement_cost.hpp
@@ -22,9 +22,14 @@
     /// Makes all instances prefer the same of otherwise equal endpoints.
     double tie_break = 0;
 
+    /// Price of traffic that a new copy of the prompt's shared prefix in the
+    /// own failure domain is expected to save.
+    double saved_traffic = 0;
+
     [[nodiscard]] double total() const
     {
-        return wait + prefill + transfer + failure + remote_domain + tie_break;
+        return wait + prefill + transfer + failure + remote_domain + tie_break -
+               saved_traffic;
     }
 };
 
--- a/packages/core/include/sycamorelock/core/direct/prefix_cache.hpp
+++ b/packages/core/include/sycamorelock/core/direct/prefix_cache.hpp
@@ -7,6 +7,7 @@
 
 #include <list>
 #include <map>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <vector>
@@ -40,9 +41,14 @@
     /// effect if the prompt exceeds `capacity`, since an engine rejects it.
     /// \param capacity part of the engine's KV cache, in tokens, that is left
     /// for prompts of requests that have ended.
-    /// \param ready_at predicted end of the prefill.
+    /// \param ready_at predicted end of the prefill, which counts as the time
+    /// of use.
     void touch(endpoint_id engine, std::span<const prompt_part> parts,
                double capacity, time_point ready_at = {});
+    /// Time for which the engine's cache keeps a part that is not used again,
+    /// as the latest eviction shows; `limit` if that is shorter or none is
+    /// known.
+    [[nodiscard]] duration residence(endpoint_id engine, duration limit) const;
 
     /// Length, in tokens, of the prompt's prefix that the engine will have
     /// cached once the requests already sent to it have had their prefill.
@@ -74,6 +80,7 @@
         time_point ready_at;
         /// Whether more than one request contained it.
         bool shared = false;
+        time_point used_at;
     };
     struct engine_cache
     {
@@ -81,6 +88,8 @@
         std::list<entry> order;
         std::unordered_map<std::uint64_t, std::list<entry>::iterator> index;
         double tokens = 0;
+        /// Age of the latest evicted part.
+        std::optional<duration> evicted_after;
 
         void insert(std::list<entry>::iterator before, const entry& added);
     };
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -6,6 +6,7 @@
 #include "sycamorelock/core/crash_tracker.hpp"
 #include "sycamorelock/core/direct/account_shares.hpp"
 #include "sycamorelock/core/direct/catalogue.hpp"
+#include "sycamorelock/core/direct/domain_demand.hpp"
 #include "sycamorelock/core/direct/domain_traffic.hpp"
 #include "sycamorelock/core/direct/endpoint_health.hpp"
 #include "sycamorelock/core/direct/endpoint_notices.hpp"
@@ -537,6 +538,20 @@
     void evaluate_engine(const request_context& context,
                          candidate& result) const;
     void evaluate_plain(candidate& result) const;
+    /// Expected saving of traffic by a new copy of the request's shared prefix
+    /// at an engine of the own failure domain. It makes up for no more than
+    /// what the copy costs other requests.
+    void evaluate_saved_traffic(const request_context& context,
+                                candidate& result) const;
+    /// Adds engines of the own failure domain to those that may prefill the
+    /// request's shared prefix.
+    void add_domain_homes(std::uint64_t key,
+                          const std::vector<const endpoint_state*>& usable,
+                          std::vector<const endpoint_state*>& homes) const;
+    /// Records which prefixes are requested, for services with a price of
+    /// traffic between failure domains.
+    void record_domain_demand(time_point now,
+                              std::span<const cache_note> notes);
     /// Whether the price of traffic between failure domains is part of the
     /// decisions about a service.
     [[nodiscard]] bool prices_domains(service_id service) const;
@@ -673,6 +688,7 @@
     endpoint_notices notices_;
     slowdown_tracker slowdowns_;
     domain_traffic domain_traffic_;
+    domain_demand domain_demand_;
     load_ledger ledger_;
     prefix_cache cache_;
     prompt_homes prompt_homes_;
--- a/packages/core/lib/direct/prefix_cache.cpp
+++ b/packages/core/lib/direct/prefix_cache.cpp
@@ -45,20 +45,33 @@
             found->second->ready_at =
                 std::min(found->second->ready_at, ready_at);
             found->second->shared = true;
+            found->second->used_at = ready_at;
             cache.order.splice(cache.order.begin(), cache.order, found->second);
             continue;
         }
-        cache.insert(cache.order.begin(), {part->key, part->tokens, ready_at});
+        cache.insert(cache.order.begin(),
+                     {part->key, part->tokens, ready_at, false, ready_at});
     }
     while (cache.tokens > capacity && !cache.order.empty())
     {
         const entry& oldest = cache.order.back();
         cache.tokens -= oldest.tokens;
+        if (oldest.used_at != time_point())
+            cache.evicted_after =
+                std::max(duration(0), ready_at - oldest.used_at);
         cache.index.erase(oldest.key);
         cache.order.pop_back();
     }
 }
 
+duration prefix_cache::residence(endpoint_id engine, duration limit) const
+{
+    const auto cache = engines_.find(engine);
+    if (cache == engines_.end() || !cache->second.evicted_after)
+        return limit;
+    return std::min(limit, *cache->second.evicted_after);
+}
+
 std::vector<prompt_part> prefix_cache::shared(time_point now,
                                               endpoint_id engine,
                                               std::size_t max_parts) const
@@ -86,7 +99,8 @@
         if (cache.tokens + part.tokens > capacity)
             return;
         if (!cache.index.contains(part.key))
-            cache.insert(cache.order.end(), {part.key, part.tokens, {}, true});
+            cache.insert(cache.order.end(),
+                         {part.key, part.tokens, {}, true, {}});
     }
 }
 
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -104,8 +104,7 @@
 router::router(router_options options)
     : options_(options), random_(options.seed),
       warmup_allowances_(options.self, options.domain, options.domains),
-      domain_traffic_(options.remote_price),
-      crashes_(options.self)
+      domain_traffic_(options.remote_price), crashes_(options.self)
 {
 }
 
@@ -115,6 +114,11 @@
     warmup_allowances_.set_members(now, members);
     std::vector<instance_id> instances;
     instances.reserve(members.size());
+    const auto here = static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(),
+                      [this](const fleet_member& each)
+                      { return each.domain == options_.domain; }));
+    domain_demand_.set_instances(1 + here, 1 + members.size());
     for (const fleet_member& each : members)
         instances.push_back(each.instance);
     crashes_.set_members(std::move(instances));
@@ -400,6 +404,7 @@
                           milliseconds(static_cast<milliseconds::rep>(std::min(
                               placement.predicted_ms, max_prefill_due_ms)))};
     on_cache_notes(now, {&note, 1});
+    domain_demand_.note_own(now);
     unsent_cache_notes_.push_back(note);
 }
 
@@ -520,10 +525,23 @@
     }
 }
 
+void router::record_domain_demand(time_point now,
+                                  std::span<const cache_note> notes)
+{
+    domain_demand_.sweep(now);
+    for (const cache_note& note : notes)
+    {
+        if (note.parts.size() > 1 && slowdowns_.reports_slowdown(note.engine))
+            domain_demand_.note(now, shared_key(note.parts));
+    }
+}
+
 void router::on_cache_notes(time_point now, std::span<const cache_note> notes)
 {
     if (large_fleet_)
         record_prompt_demand(now, notes);
+    if (domain_traffic_.is_priced() && uses(mechanism::domain_homes))
+        record_domain_demand(now, notes);
     for (const cache_note& note : notes)
     {
         const double capacity = cache_capacity_tokens(note.engine);
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 
 namespace sycamorelock::core::direct
@@ -46,6 +47,11 @@
 /// waits for a report (one every 50 ms), the ticks of three processes and the
 /// network delays between them.
 constexpr double mean_report_age_ms = 150;
+/// Number of homes of a prefix in the own failure domain: with one, there would
+/// be no alternative to its queue.
+constexpr std::size_t domain_home_count = 2;
+/// Time up to which the demand for a prefix is predicted from its past.
+constexpr duration max_demand_forecast = std::chrono::seconds(30);
 /// Requests that may wait at a plain endpoint, as a multiple of its slots.
 constexpr double max_plain_backlog = 3.0;
 
@@ -74,9 +80,29 @@
         request.parts.size() < 2 || !uses(mechanism::prompt_homes))
         return result;
     const std::uint64_t key = shared_key(request.parts);
-    keep_highest_ranked(key, result, prompt_homes_.count(now, key),
+    std::vector<const endpoint_state*> homes = result;
+    keep_highest_ranked(key, homes, prompt_homes_.count(now, key),
                         [](const endpoint_state* state) { return state->id; });
-    return result;
+    if (prices_domains(service_info.id) && uses(mechanism::domain_homes))
+        add_domain_homes(key, result, homes);
+    return homes;
+}
+
+void router::add_domain_homes(std::uint64_t key,
+                              const std::vector<const endpoint_state*>& usable,
+                              std::vector<const endpoint_state*>& homes) const
+{
+    std::vector<const endpoint_state*> own;
+    std::copy_if(usable.begin(), usable.end(), std::back_inserter(own),
+                 [this](const endpoint_state* state)
+                 { return state->record.domain == options_.domain; });
+    keep_highest_ranked(key, own, domain_home_count,
+                        [](const endpoint_state* state) { return state->id; });
+    for (const endpoint_state* state : own)
+    {
+        if (std::find(homes.begin(), homes.end(), state) == homes.end())
+            homes.push_back(state);
+    }
 }
 
 router::prompt_source router::find_source(time_point now,
@@ -179,6 +205,30 @@
     result.cost.wait = result.wait_ms;
     result.cost.prefill = result.prefill_ms * (1 + prefill_cost_factor());
     evaluate_fetch(context, result);
+    if (context.remote_price_ms > 0 && uses(mechanism::domain_homes) &&
+        result.state->record.domain == options_.domain)
+        evaluate_saved_traffic(context, result);
+}
+
+void router::evaluate_saved_traffic(const request_context& context,
+                                    candidate& result) const
+{
+    // Every endpoint has to prefill what is not shared.
+    const double shared_prefill_ms =
+        result.prefill_ms -
+        context.prefill_ms(
+            std::max(result.cached, shared_tokens(context.request.parts))) *
+            result.slowdown;
+    const double transfer_ms = result.fetch ? result.fetch->transfer_ms : 0;
+    const double cost_to_others = shared_prefill_ms * prefill_cost_factor() +
+                                  transfer_ms * transfer_cost_factor;
+    if (cost_to_others <= 0)
+        return;
+    const double expected = domain_demand_.expected_requests(
+        context.now, shared_key(context.request.parts),
+        cache_.residence(result.state->id, max_demand_forecast));
+    result.cost.saved_traffic =
+        std::min(cost_to_others, expected * context.remote_price_ms);
 }
 
 void router::evaluate_plain(candidate& result) const
--- a/packages/core/unittests/direct_domains_test.cpp
+++ b/packages/core/unittests/direct_domains_test.cpp
@@ -184,3 +184,52 @@
     use.engines_at_home = 0;
     cr_expect_eq(two_domains(use).leave_of(100), 100U);
 }
+
+Test(direct_domains, demand_of_a_prefix_is_divided_by_domain)
+{
+    domain_demand demand;
+    demand.set_instances(20, 80);
+    time_point now = start;
+    // Load: 100 requests a second, one in 50 with the prefix; this domain sends
+    // half of them.
+    for (unsigned i = 0; i < 6000; ++i)
+    {
+        now += milliseconds(10);
+        demand.note(now, i % 50);
+        if (i % 40 == 0)
+            demand.note_own(now);
+    }
+    cr_expect_float_eq(demand.part_of_domain(now), 0.5, 0.1);
+    const double expected =
+        demand.expected_requests(now, 7, std::chrono::seconds(10));
+    cr_expect_float_eq(expected, 10, 3, "%f", expected);
+    cr_expect_eq(demand.expected_requests(now, 50, std::chrono::seconds(10)),
+                 0);
+    now += std::chrono::seconds(100);
+    demand.sweep(now);
+    cr_expect_eq(demand.expected_requests(now, 7, std::chrono::seconds(10)), 0);
+}
+
+// Load: one prompt of 13,300 tokens, asked for at home 20 times a second.
+Test(direct_domains, a_prompt_that_is_requested_often_is_read_at_home)
+{
+    two_domains fleet({});
+    time_point now = start;
+    unsigned left = 0;
+    for (unsigned i = 0; i < 100; ++i)
+    {
+        now += milliseconds(50);
+        left +=
+            fleet.send(now, fleet.make_profile(now, "often", 13300, i)) == away
+                ? 1
+                : 0;
+    }
+    cr_expect_leq(left, 20U, "%u of 100", left);
+}
+
+// Load: prompts of 100 shared tokens, each requested once, on idle engines.
+Test(direct_domains, short_prompts_stay_at_home)
+{
+    const unsigned left = two_domains({}).leave_of(100);
+    cr_expect_eq(left, 0U, "%u of 100", left);
+}
