Leaving the failure domain pays less where the prompt has to be read anyway

Where traffic between failure domains has a price, the weight of a repeated prefill counts for the shared part of a prompt only. What is not shared is prefilled wherever the request goes; its weight, five times the difference of two engines' learned slowdowns, outweighed the price.

--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -516,6 +516,11 @@
         /// Price, in ms, of serving the request in another failure domain; 0 if
         /// that has none.
         double remote_price_ms = 0;
+        /// Prefill time, in ms, of the part of the prompt that is not shared,
+        /// on an engine with slowdown factor 1. It delays other requests alike
+        /// wherever the request is placed, so that it is no reason to leave the
+        /// failure domain. 0 where that has no price.
+        double unshared_prefill_ms = 0;
 
         /// Mean time, in ms, for which a request of the service occupies a
         /// slot.
@@ -628,6 +633,10 @@
     /// Updates the estimate from a completed request.
     void record_hold_time(time_point now, const placement_decision& placement);
     [[nodiscard]] double prefill_cost_factor() const;
+    /// Prefill time, in ms, with the delay that its repeated part is expected
+    /// to cause to other requests.
+    [[nodiscard]] double prefill_cost(const request_context& context,
+                                      const candidate& option) const;
     [[nodiscard]] bool uses(mechanism which) const
     {
         return options_.mechanisms.is_enabled(which);
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -140,14 +140,22 @@
             ? domain_traffic_.price_ms(request.route_config->name,
                                        request.body_bytes)
             : 0;
-    return {now,
-            request,
-            service_info,
-            learned == estimators_.end() ? prefill_cost_model()
-                                         : learned->second.figures(),
-            hold_time_of(service_info),
-            find_source(now, request, service_info),
-            remote_price_ms};
+    request_context result{now,
+                           request,
+                           service_info,
+                           learned == estimators_.end()
+                               ? prefill_cost_model()
+                               : learned->second.figures(),
+                           hold_time_of(service_info),
+                           find_source(now, request, service_info),
+                           remote_price_ms,
+                           0};
+    // Without a price, failure domains hardly matter, and the weight of the
+    // whole prefill favours the engines that are fastest at present.
+    if (remote_price_ms > 0)
+        result.unshared_prefill_ms =
+            result.prefill_ms(shared_tokens(request.parts));
+    return result;
 }
 
 bool router::prices_domains(service_id service) const
@@ -167,18 +175,17 @@
     const double transfer_ms =
         fetch_links_.transfer_ms(context.now, context.service_info, source->id,
                                  result.state->id, tokens);
-    const double prefill_ms =
+    candidate fetched = result;
+    fetched.prefill_ms =
         context.prefill_ms(context.source.tokens) * result.slowdown;
-    const double transfer_cost = transfer_ms * (1 + transfer_cost_factor);
-    const double prefill_cost = prefill_ms * (1 + prefill_cost_factor());
-    if (transfer_cost + prefill_cost >= result.cost.prefill)
+    fetched.cost.prefill = prefill_cost(context, fetched);
+    fetched.cost.transfer = transfer_ms * (1 + transfer_cost_factor);
+    if (fetched.cost.transfer + fetched.cost.prefill >= result.cost.prefill)
         return;
-    result.cost.transfer = transfer_cost;
-    result.cost.prefill = prefill_cost;
-    result.cached = context.source.tokens;
-    result.prefill_ms = prefill_ms;
-    result.fetch =
+    fetched.cached = context.source.tokens;
+    fetched.fetch =
         fetch_plan{source->id, source->record.address, tokens, transfer_ms};
+    result = std::move(fetched);
 }
 
 void router::evaluate_engine(const request_context& context,
@@ -203,7 +210,7 @@
         context.service_info.kv_capacity_tokens)
         result.wait_ms += to_ms(std::chrono::milliseconds(1000));
     result.cost.wait = result.wait_ms;
-    result.cost.prefill = result.prefill_ms * (1 + prefill_cost_factor());
+    result.cost.prefill = prefill_cost(context, result);
     evaluate_fetch(context, result);
     if (context.remote_price_ms > 0 && uses(mechanism::domain_homes) &&
         result.state->record.domain == options_.domain)
@@ -213,14 +220,9 @@
 void router::evaluate_saved_traffic(const request_context& context,
                                     candidate& result) const
 {
-    // Every endpoint has to prefill what is not shared.
-    const double shared_prefill_ms =
-        result.prefill_ms -
-        context.prefill_ms(
-            std::max(result.cached, shared_tokens(context.request.parts))) *
-            result.slowdown;
     const double transfer_ms = result.fetch ? result.fetch->transfer_ms : 0;
-    const double cost_to_others = shared_prefill_ms * prefill_cost_factor() +
+    const double cost_to_others = prefill_cost(context, result) -
+                                  result.prefill_ms +
                                   transfer_ms * transfer_cost_factor;
     if (cost_to_others <= 0)
         return;
@@ -362,6 +364,14 @@
                           { return a.cost.total() < b.cost.total(); }));
 }
 
+double router::prefill_cost(const request_context& context,
+                            const candidate& option) const
+{
+    const double repeated_ms = std::max(
+        0.0, option.prefill_ms - context.unshared_prefill_ms * option.slowdown);
+    return option.prefill_ms + repeated_ms * prefill_cost_factor();
+}
+
 double router::prefill_cost_factor() const
 {
     return uses(mechanism::reread_price) ? repeated_prefill_cost_factor : 0;
--- a/test/model/fleet_simulation.cpp
+++ b/test/model/fleet_simulation.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace model
 {
@@ -17,6 +18,11 @@
     return "engine-" + std::to_string(index);
 }
 
+core::domain_id domain_id_of(std::size_t index)
+{
+    return core::domain_id::of("domain-" + std::to_string(index));
+}
+
 const core::service_id engine_service = core::service_id::of("planner");
 
 } // namespace
@@ -91,7 +97,8 @@
 fleet_simulation::fleet_simulation(simulation_config plan)
     : plan_(std::move(plan)), generator_(plan_.seed),
       config_(std::make_shared<direct::catalogue>()),
-      is_listed_(plan_.engines, true), sent_to_engine_(plan_.engines, 0)
+      is_listed_(plan_.engines, true), sent_to_engine_(plan_.engines, 0),
+      domain_factors_(plan_.domains, 1), domain_counts_(plan_.domains)
 {
     config_->version = 1;
     direct::service service;
@@ -125,10 +132,21 @@
         direct::router_options options;
         options.seed = plan_.seed + i;
         options.mechanisms = plan_.mechanisms;
+        options.domain = domain_id_of(domain_of(i));
+        options.remote_price = direct::domain_price(plan_.remote_ms_per_kb);
         routers_.push_back(std::make_unique<direct::router>(options));
         routers_.back()->install(to_time_point(0), config_);
         routers_.back()->set_fleet_size(plan_.routers);
     }
+    std::vector<direct::fleet_member> members;
+    for (std::size_t i = 0; i < plan_.routers; ++i)
+        members.push_back({core::instance_id::of("router-" + std::to_string(i)),
+                           domain_id_of(domain_of(i))});
+    for (auto& router : routers_)
+    {
+        if (plan_.domains > 1)
+            router->set_members(to_time_point(0), members);
+    }
     publish_engines();
 }
 
@@ -150,12 +168,43 @@
         direct::endpoint_record record;
         record.boot = engine_name(i);
         record.service = engine_service;
+        record.domain = domain_id_of(domain_of(i));
         record.slots = plan_.engine_params.slots;
         record.address = record.boot + ":1";
         records[record.boot] = record;
     }
     for (auto& router : routers_)
         router->set_endpoints(to_time_point(now_ms_), records);
+    if (!plan_.reports_slowdown)
+        return;
+    direct::endpoint_load load;
+    load.slots = plan_.engine_params.slots;
+    load.slowdown = 1;
+    for (const auto& [name, record] : records)
+    {
+        for (auto& router : routers_)
+            router->note_load(to_time_point(now_ms_), record, load);
+    }
+}
+
+void fleet_simulation::drain_domains(const std::set<std::size_t>& domains)
+{
+    std::set<core::domain_id> drained;
+    for (const std::size_t each : domains)
+        drained.insert(domain_id_of(each));
+    for (auto& router : routers_)
+        router->set_drained(to_time_point(now_ms_), drained, {});
+}
+
+std::size_t fleet_simulation::draw_router()
+{
+    std::vector<double> weights;
+    weights.reserve(routers_.size());
+    for (std::size_t i = 0; i < routers_.size(); ++i)
+        weights.push_back(domain_factors_[domain_of(i)]);
+    std::discrete_distribution<std::size_t> router_index(weights.begin(),
+                                                         weights.end());
+    return router_index(generator_);
 }
 
 void fleet_simulation::set_account_factor(const std::string& name,
@@ -196,6 +245,7 @@
     account_counts_.clear();
     served_tokens_.clear();
     prediction_errors_.clear();
+    std::fill(domain_counts_.begin(), domain_counts_.end(), domain_counts{});
     std::fill(sent_to_engine_.begin(), sent_to_engine_.end(), 0U);
 }
 
@@ -206,11 +256,15 @@
     while (now_ms_ < end_ms)
     {
         now_ms_ += tick_ms;
+        const double domain_factor =
+            std::accumulate(domain_factors_.begin(), domain_factors_.end(),
+                            0.0) /
+            static_cast<double>(plan_.domains);
         for (std::size_t i = 0; i < plan_.request_types.size(); ++i)
         {
             std::poisson_distribution<int> arrivals(
                 plan_.request_types[i].requests_per_second * traffic_factor_ *
-                tick_ms / ms_per_second);
+                domain_factor * tick_ms / ms_per_second);
             for (int n = arrivals(generator_); n > 0; --n)
                 generate_requests(plan_.request_types[i], i);
         }
@@ -274,12 +328,16 @@
         }
         request.profile.route_config = &config_->routes[route_index];
         request.profile.account = core::account_id::of(request.account);
+        request.profile.body_bytes = type.body_bytes;
         request.profile.arrived = to_time_point(now_ms_);
         request.profile.deadline = to_time_point(now_ms_ + type.deadline_ms);
         request.tokens = request.profile.share_tokens();
         std::uniform_int_distribution<std::size_t> router_index(
             0, routers_.size() - 1);
-        request.router = router_index(generator_);
+        request.router =
+            plan_.domains > 1 ? draw_router() : router_index(generator_);
+        domain_counts& in_domain = domain_counts_[domain_of(request.router)];
+        ++in_domain.requests.offered_requests;
         direct::router& router = *routers_[request.router];
         ++type_counts_[request.type].offered_requests;
         ++account_counts_[request.account].offered_requests;
@@ -293,12 +351,18 @@
             type_counts_[request.type].refused_with_free_slots +=
                 has_free_slots() ? 1 : 0;
             ++account_counts_[request.account].refused;
+            ++in_domain.requests.refused;
             continue;
         }
         request.placed = *placed;
         request.sent = to_time_point(now_ms_);
         request.engine = engine_index(placed->request_load.endpoint);
         ++sent_to_engine_[request.engine];
+        if (domain_of(request.engine) != domain_of(request.router))
+        {
+            ++in_domain.sent_away;
+            in_domain.bytes_away += type.body_bytes + type.answer_bytes;
+        }
         router.sent(to_time_point(now_ms_), request.profile, request.placed);
         schedule_submission(request, id, type.output_tokens);
         open_requests_.emplace(id, std::move(request));
@@ -399,6 +463,7 @@
         on_time ? &request_counts::on_time : &request_counts::late;
     ++(type_counts_[request.type].*counter);
     ++(account_counts_[request.account].*counter);
+    ++(domain_counts_[domain_of(request.router)].requests.*counter);
     served_tokens_[request.account] += request.tokens;
 }
 
@@ -410,6 +475,12 @@
     routers_[found->second.router]->finished(
         to_time_point(at_ms), found->second.placed,
         direct::attempt_outcome::succeeded);
+    const auto type =
+        std::find_if(plan_.request_types.begin(), plan_.request_types.end(),
+                     [&found](const request_type& each)
+                     { return each.name == found->second.type; });
+    routers_[found->second.router]->note_answer(found->second.profile,
+                                                type->answer_bytes);
     open_requests_.erase(found);
 }
 
--- a/test/model/fleet_simulation.hpp
+++ b/test/model/fleet_simulation.hpp
@@ -9,6 +9,7 @@
 
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 namespace model
@@ -39,6 +40,9 @@
     /// token counts. Without it the router can neither predict the prefill nor
     /// the cached prefix.
     bool describes_prompt = true;
+    /// Sizes of the request's body and of the whole answer.
+    double body_bytes = 0;
+    double answer_bytes = 0;
 };
 
 /// Traffic of a client account.
@@ -70,6 +74,12 @@
     double token_bytes = 0;
     double link_bytes_per_ms = 0;
     direct::mechanism_set mechanisms;
+    /// Number of failure domains. Routers and engines belong to them in turn.
+    std::size_t domains = 1;
+    /// Price of traffic between failure domains that operators state.
+    double remote_ms_per_kb = 0;
+    /// Whether engines report the slowdown of their machines.
+    bool reports_slowdown = false;
 };
 
 /// The deployment "atlas" at its nominal load.
@@ -102,6 +112,16 @@
     unsigned refused_with_free_slots = 0;
 };
 
+/// Results of the requests that callers of one failure domain sent.
+struct domain_counts
+{
+    request_counts requests;
+    /// Requests placed in another failure domain, and their size with the
+    /// answers.
+    unsigned sent_away = 0;
+    double bytes_away = 0;
+};
+
 /// A simulated fleet that runs in its own time, and the results of its
 /// requests.
 class fleet_simulation
@@ -122,6 +142,13 @@
     /// Sets the share of requests of the first type that use one particular
     /// shared prefix. The others draw theirs at random.
     void set_hot_prompt_share(double share) { hot_prompt_share_ = share; }
+    /// Multiplies the request rate in one failure domain.
+    void set_domain_factor(std::size_t domain, double factor)
+    {
+        domain_factors_[domain] = factor;
+    }
+    /// Drains these failure domains, and ends all other drains.
+    void drain_domains(const std::set<std::size_t>& domains);
     /// Number of engines.
     [[nodiscard]] std::size_t engines() const { return plan_.engines; }
     /// Removes engines from the endpoint listing. Their open requests fail.
@@ -139,6 +166,10 @@
     [[nodiscard]] const request_counts&
     counts_of_type(const std::string& name) const;
     [[nodiscard]] request_counts total_counts() const;
+    [[nodiscard]] const domain_counts& counts_of_domain(std::size_t index) const
+    {
+        return domain_counts_[index];
+    }
     [[nodiscard]] const request_counts&
     counts_of_account(const std::string& name) const;
     /// Tokens of the account's requests that got a first token: prompt tokens
@@ -195,6 +226,12 @@
     /// Generates the requests of one arrival event: one on average, and more
     /// if factors of client accounts raise the traffic.
     void generate_requests(const request_type& type, std::size_t route_index);
+    /// Draws the router that a request arrives at.
+    [[nodiscard]] std::size_t draw_router();
+    [[nodiscard]] std::size_t domain_of(std::size_t index) const
+    {
+        return index % plan_.domains;
+    }
     /// Whether a listed engine has at least a quarter of its slots free.
     [[nodiscard]] bool has_free_slots() const;
     void schedule_submission(const open_request& request, std::uint64_t id,
@@ -233,6 +270,8 @@
     std::map<std::string, request_counts> account_counts_;
     std::map<std::string, double> served_tokens_;
     std::vector<unsigned> sent_to_engine_;
+    std::vector<double> domain_factors_;
+    std::vector<domain_counts> domain_counts_;
 };
 
 } // namespace model
