--- a/packages/core/include/sycamorelock/core/direct/mechanism.hpp
+++ b/packages/core/include/sycamorelock/core/direct/mechanism.hpp
@@ -50,6 +50,13 @@
     /// A prompt whose prefill is in progress counts only with its predicted
     /// remaining time.
     reading_progress,
+    /// Where operators state a price, traffic to another failure domain adds to
+    /// the cost of a placement.
+    domain_price,
+    /// Where operators state a price, a shared prompt prefix may also be
+    /// prefilled by engines of the own failure domain, if that is expected to
+    /// save more traffic than it costs.
+    domain_homes,
 };
 
 /// Name of a mechanism in settings.
@@ -72,6 +79,8 @@
     mechanism_name{mechanism::cache_copies, "cache_copies"},
     mechanism_name{mechanism::unseen_requests, "unseen_requests"},
     mechanism_name{mechanism::reading_progress, "reading_progress"},
+    mechanism_name{mechanism::domain_price, "domain_price"},
+    mechanism_name{mechanism::domain_homes, "domain_homes"},
 };
 
 /// Returns the mechanism with this name, or nullopt if there is none.
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 
 namespace sycamorelock::core::direct
@@ -46,6 +47,11 @@
 /// waits for a report (one every 50 ms), the ticks of three processes and the
 /// network delays between them.
 constexpr double mean_report_age_ms = 150;
+/// Number of homes of a prefix in the own failure domain: with one, there would
+/// be no alternative to its queue.
+constexpr std::size_t domain_home_count = 2;
+/// Time up to which the demand for a prefix is predicted from its past.
+constexpr duration max_demand_forecast = std::chrono::seconds(30);
 /// Requests that may wait at a plain endpoint, as a multiple of its slots.
 constexpr double max_plain_backlog = 3.0;
 
@@ -74,9 +80,29 @@
         request.parts.size() < 2 || !uses(mechanism::prompt_homes))
         return result;
     const std::uint64_t key = shared_key(request.parts);
-    keep_highest_ranked(key, result, prompt_homes_.count(now, key),
+    std::vector<const endpoint_state*> homes = result;
+    keep_highest_ranked(key, homes, prompt_homes_.count(now, key),
                         [](const endpoint_state* state) { return state->id; });
-    return result;
+    if (prices_domains(service_info.id) && uses(mechanism::domain_homes))
+        add_domain_homes(key, result, homes);
+    return homes;
+}
+
+void router::add_domain_homes(std::uint64_t key,
+                              const std::vector<const endpoint_state*>& usable,
+                              std::vector<const endpoint_state*>& homes) const
+{
+    std::vector<const endpoint_state*> own;
+    std::copy_if(usable.begin(), usable.end(), std::back_inserter(own),
+                 [this](const endpoint_state* state)
+                 { return state->record.domain == options_.domain; });
+    keep_highest_ranked(key, own, domain_home_count,
+                        [](const endpoint_state* state) { return state->id; });
+    for (const endpoint_state* state : own)
+    {
+        if (std::find(homes.begin(), homes.end(), state) == homes.end())
+            homes.push_back(state);
+    }
 }
 
 router::prompt_source router::find_source(time_point now,
@@ -109,13 +135,33 @@
                                              const service& service_info) const
 {
     const auto learned = estimators_.find(service_info.id);
-    return {now,
-            request,
-            service_info,
-            learned == estimators_.end() ? prefill_cost_model()
-                                         : learned->second.figures(),
-            hold_time_of(service_info),
-            find_source(now, request, service_info)};
+    const double remote_price_ms =
+        prices_domains(service_info.id)
+            ? domain_traffic_.price_ms(request.route_config->name,
+                                       request.body_bytes)
+            : 0;
+    request_context result{now,
+                           request,
+                           service_info,
+                           learned == estimators_.end()
+                               ? prefill_cost_model()
+                               : learned->second.figures(),
+                           hold_time_of(service_info),
+                           find_source(now, request, service_info),
+                           remote_price_ms,
+                           0};
+    // Without a price, failure domains hardly matter, and the weight of the
+    // whole prefill favours the engines that are fastest at present.
+    if (remote_price_ms > 0)
+        result.unshared_prefill_ms =
+            result.prefill_ms(shared_tokens(request.parts));
+    return result;
+}
+
+bool router::prices_domains(service_id service) const
+{
+    return domain_traffic_.is_priced() && uses(mechanism::domain_price) &&
+           reports_slowdown(service);
 }
 
 void router::evaluate_fetch(const request_context& context,
@@ -129,18 +175,17 @@
     const double transfer_ms =
         fetch_links_.transfer_ms(context.now, context.service_info, source->id,
                                  result.state->id, tokens);
-    const double prefill_ms =
+    candidate fetched = result;
+    fetched.prefill_ms =
         context.prefill_ms(context.source.tokens) * result.slowdown;
-    const double transfer_cost = transfer_ms * (1 + transfer_cost_factor);
-    const double prefill_cost = prefill_ms * (1 + prefill_cost_factor());
-    if (transfer_cost + prefill_cost >= result.cost.prefill)
+    fetched.cost.prefill = prefill_cost(context, fetched);
+    fetched.cost.transfer = transfer_ms * (1 + transfer_cost_factor);
+    if (fetched.cost.transfer + fetched.cost.prefill >= result.cost.prefill)
         return;
-    result.cost.transfer = transfer_cost;
-    result.cost.prefill = prefill_cost;
-    result.cached = context.source.tokens;
-    result.prefill_ms = prefill_ms;
-    result.fetch =
+    fetched.cached = context.source.tokens;
+    fetched.fetch =
         fetch_plan{source->id, source->record.address, tokens, transfer_ms};
+    result = std::move(fetched);
 }
 
 void router::evaluate_engine(const request_context& context,
@@ -165,8 +210,27 @@
         context.service_info.kv_capacity_tokens)
         result.wait_ms += to_ms(std::chrono::milliseconds(1000));
     result.cost.wait = result.wait_ms;
-    result.cost.prefill = result.prefill_ms * (1 + prefill_cost_factor());
+    result.cost.prefill = prefill_cost(context, result);
     evaluate_fetch(context, result);
+    if (context.remote_price_ms > 0 && uses(mechanism::domain_homes) &&
+        result.state->record.domain == options_.domain)
+        evaluate_saved_traffic(context, result);
+}
+
+void router::evaluate_saved_traffic(const request_context& context,
+                                    candidate& result) const
+{
+    const double transfer_ms = result.fetch ? result.fetch->transfer_ms : 0;
+    const double cost_to_others = prefill_cost(context, result) -
+                                  result.prefill_ms +
+                                  transfer_ms * transfer_cost_factor;
+    if (cost_to_others <= 0)
+        return;
+    const double expected = domain_demand_.expected_requests(
+        context.now, shared_key(context.request.parts),
+        cache_.residence(result.state->id, max_demand_forecast));
+    result.cost.saved_traffic =
+        std::min(cost_to_others, expected * context.remote_price_ms);
 }
 
 void router::evaluate_plain(candidate& result) const
@@ -197,11 +261,17 @@
         result.cost.failure =
             endpoint.health.failure_rate(context.now) * failure_cost_ms;
     if (endpoint.record.domain != options_.domain)
-        result.cost.remote_domain = remote_domain_cost_ms;
+        result.cost.remote_domain =
+            remote_domain_cost_ms + context.remote_price_ms;
     const std::uint64_t key = context.request.parts.empty()
                                   ? options_.seed
                                   : shared_key(context.request.parts);
-    result.cost.tie_break = rank_of(key, endpoint.id) * max_tie_break_ms;
+    // A tie is not worth the price of leaving the failure domain.
+    const double tie_break_ms =
+        context.remote_price_ms > 0
+            ? std::min(max_tie_break_ms, context.remote_price_ms)
+            : max_tie_break_ms;
+    result.cost.tie_break = rank_of(key, endpoint.id) * tie_break_ms;
     return result;
 }
 
@@ -294,6 +364,14 @@
                           { return a.cost.total() < b.cost.total(); }));
 }
 
+double router::prefill_cost(const request_context& context,
+                            const candidate& option) const
+{
+    const double repeated_ms = std::max(
+        0.0, option.prefill_ms - context.unshared_prefill_ms * option.slowdown);
+    return option.prefill_ms + repeated_ms * prefill_cost_factor();
+}
+
 double router::prefill_cost_factor() const
 {
     return uses(mechanism::reread_price) ? repeated_prefill_cost_factor : 0;
