Requests are admitted by their own objective where machines are slowed

One limit of the wait, a share of the service's tightest objective, held for all requests. Where endpoints report the slowdown of their machines, a request is now admitted by its own objective, size, urgency and account, with the learned error of predictions as margin (objective_admission, prediction_error; switched off by the mechanism objective_admission).

--- a/packages/core/include/sycamorelock/core/direct/admission.hpp
+++ b/packages/core/include/sycamorelock/core/direct/admission.hpp
@@ -13,12 +13,16 @@
 /// What the admission of a request depends on.
 struct admission_query
 {
-    /// Response-time objective of the request's own route, in ms.
+    /// Rest of the response-time objective of the request's own route, in ms.
     double objective_ms = 0;
     /// Shortest objective among the routes to the service, in ms.
     double tightest_objective_ms = 0;
     /// Time until the caller gives up, in ms.
     double time_left_ms = 0;
+    /// Predicted time from the end of the wait to the first token, in ms.
+    double service_ms = 0;
+    /// Factor by which observed times to the first token exceed predicted ones.
+    double error_factor = 1;
     account_standing standing;
     /// 0 is the most urgent.
     unsigned urgency = 1;
@@ -54,6 +58,10 @@
     }
     [[nodiscard]] double max_wait_ms(const admission_query& query) const;
 
+    /// Allowed wait of an account relative to that of one within its share;
+    /// negative if its requests are refused whatever the wait.
+    [[nodiscard]] double relative_wait(const account_standing& standing) const;
+
   private:
     [[nodiscard]] double
     max_wait_fraction(const account_standing& standing) const;
@@ -62,4 +70,29 @@
 };
 static_assert(admission_policy<uniform_admission>);
 
+/// Limits each request by its own objective, size, urgency and account.
+///
+/// A request is admitted if its first token is predicted within its objective.
+/// When not all requests fit, the order is: accounts within their share, then
+/// accounts beyond it, which use what is left, at last only endpoints without a
+/// wait; among accounts that are not compared with a share, the most urgent
+/// requests before others; then requests with a short prefill before those with
+/// a long one. No wait exceeds a limit that is the same for all routes to the
+/// service, so that requests with a long objective leave room for those with a
+/// short one. A request that an almost idle endpoint cannot serve within its
+/// objective is still admitted, since it displaces no other.
+class objective_admission
+{
+  public:
+    explicit objective_admission(const mechanism_set& mechanisms)
+        : shares_(mechanisms)
+    {
+    }
+    [[nodiscard]] double max_wait_ms(const admission_query& query) const;
+
+  private:
+    uniform_admission shares_;
+};
+static_assert(admission_policy<objective_admission>);
+
 } // namespace sycamorelock::core::direct
--- a/packages/core/include/sycamorelock/core/direct/mechanism.hpp
+++ b/packages/core/include/sycamorelock/core/direct/mechanism.hpp
@@ -50,6 +50,9 @@
     /// A prompt whose prefill is in progress counts only with its predicted
     /// remaining time.
     reading_progress,
+    /// Where endpoints report the slowdown of their machines, the longest wait
+    /// of a request depends on its own objective, size and urgency.
+    objective_admission,
 };
 
 /// Name of a mechanism in settings.
@@ -72,6 +75,7 @@
     mechanism_name{mechanism::cache_copies, "cache_copies"},
     mechanism_name{mechanism::unseen_requests, "unseen_requests"},
     mechanism_name{mechanism::reading_progress, "reading_progress"},
+    mechanism_name{mechanism::objective_admission, "objective_admission"},
 };
 
 /// Returns the mechanism with this name, or nullopt if there is none.
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -5,6 +5,7 @@
 
 #include "sycamorelock/core/crash_tracker.hpp"
 #include "sycamorelock/core/direct/account_shares.hpp"
+#include "sycamorelock/core/direct/admission.hpp"
 #include "sycamorelock/core/direct/catalogue.hpp"
 #include "sycamorelock/core/direct/endpoint_health.hpp"
 #include "sycamorelock/core/direct/endpoint_notices.hpp"
@@ -15,6 +16,7 @@
 #include "sycamorelock/core/direct/load_ledger.hpp"
 #include "sycamorelock/core/direct/mechanism.hpp"
 #include "sycamorelock/core/direct/placement_cost.hpp"
+#include "sycamorelock/core/direct/prediction_error.hpp"
 #include "sycamorelock/core/direct/prefix_cache.hpp"
 #include "sycamorelock/core/direct/prompt_fetch.hpp"
 #include "sycamorelock/core/direct/prompt_homes.hpp"
@@ -605,9 +607,14 @@
     [[nodiscard]] unsigned urgency_of(const request_profile& request) const;
     /// Longest allowed wait, in ms; a request with a longer one is refused.
     /// Negative if the request is refused whatever the wait.
+    /// \param service_ms predicted time from the end of the wait to the first
+    /// token.
     [[nodiscard]] double max_wait_ms(time_point now,
                                      const request_profile& request,
-                                     const service& service_info) const;
+                                     const service& service_info,
+                                     double service_ms) const;
+    /// Whether requests of the service are admitted by their own objectives.
+    [[nodiscard]] bool admits_by_objective(const service& service_info) const;
     /// Refuses a request. The retry delay is drawn from 0.5 to 1.5 times
     /// `pause_ms`, so that callers return at different times.
     refusal_decision refuse(refusal reason, double pause_ms, double wait_ms);
@@ -664,6 +671,7 @@
     std::map<service_id, engine_estimator> estimators_;
     std::map<service_id, hold_time> hold_times_;
     std::map<service_id, admission_rates> admissions_;
+    std::map<service_id, prediction_error> prediction_errors_;
     account_shares account_shares_;
     std::map<service_id, retry_budget> budgets_;
     std::vector<cache_note> unsent_cache_notes_;
--- a/packages/core/lib/direct/admission.cpp
+++ b/packages/core/lib/direct/admission.cpp
@@ -1,4 +1,4 @@
-// Limits as fractions of the tightest objective of the service.
+// Limits as fractions of objectives.
 #include "sycamorelock/core/direct/admission.hpp"
 
 #include <algorithm>
@@ -17,6 +17,14 @@
 constexpr double max_wait_within_share = 0.6;
 constexpr double max_wait_beyond_share = 0.15;
 constexpr double max_wait_far_beyond_share = -0.01;
+/// Longest wait of a request that goes after others, as a fraction of the
+/// tightest objective. Short waits keep room for requests that go first, whose
+/// limit is `max_wait_within_share`.
+constexpr double max_wait_after_others = 0.4;
+/// Up to this multiple of its fair part, an account may use endpoints without
+/// a wait. Beyond it, its requests are refused before endpoints are evaluated,
+/// since evaluating them takes processor time from other accounts.
+constexpr double flood_ratio = 3;
 
 } // namespace
 
@@ -33,6 +41,11 @@
            excess * (max_wait_far_beyond_share - max_wait_beyond_share);
 }
 
+double uniform_admission::relative_wait(const account_standing& standing) const
+{
+    return max_wait_fraction(standing) / max_wait_within_share;
+}
+
 double uniform_admission::max_wait_ms(const admission_query& query) const
 {
     return std::min(query.tightest_objective_ms *
@@ -40,4 +53,23 @@
                     query.time_left_ms);
 }
 
+double objective_admission::max_wait_ms(const admission_query& query) const
+{
+    double part = shares_.relative_wait(query.standing);
+    if (part < 0 && query.standing.fair > flood_ratio)
+        return part;
+    part = std::max(0.0, part);
+    // The account's consumption is compared with a share only while the fleet
+    // is asked for more than the configured throughput.
+    const bool goes_first = query.urgency == 0 || query.standing.owed > 0;
+    const double in_objective =
+        query.objective_ms / query.error_factor - query.service_ms;
+    const double common_ms =
+        query.tightest_objective_ms *
+        (goes_first ? max_wait_within_share : max_wait_after_others);
+    const double idle_ms = query.tightest_objective_ms * max_wait_beyond_share;
+    return std::min(std::max(std::min(in_objective, common_ms), idle_ms) * part,
+                    query.time_left_ms - query.service_ms);
+}
+
 } // namespace sycamorelock::core::direct
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -411,6 +411,9 @@
     if (found != endpoints_.end())
         found->second.health.record_first_token(now, observed_first_token_ms,
                                                 placement.predicted_ms);
+    if (reports_slowdown(placement.endpoint.service))
+        prediction_errors_[placement.endpoint.service].observe(
+            observed_first_token_ms, placement.predicted_ms);
     const auto estimator = estimators_.find(placement.endpoint.service);
     const bool is_cold =
         found != endpoints_.end() && found->second.is_limited(now);
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -1,6 +1,5 @@
 // Chooses the endpoint of a request by the predicted time to the first token
 // and the estimated cost to other requests, or refuses the request.
-#include "sycamorelock/core/direct/admission.hpp"
 #include "sycamorelock/core/direct/router.hpp"
 #include "sycamorelock/core/direct/unseen_requests.hpp"
 
@@ -299,8 +298,14 @@
     return uses(mechanism::reread_price) ? repeated_prefill_cost_factor : 0;
 }
 
+bool router::admits_by_objective(const service& service_info) const
+{
+    return service_info.is_engine() && uses(mechanism::objective_admission) &&
+           reports_slowdown(service_info.id);
+}
+
 double router::max_wait_ms(time_point now, const request_profile& request,
-                           const service& service_info) const
+                           const service& service_info, double service_ms) const
 {
     const double time_left_ms = to_ms(request.deadline - now);
     if (!service_info.is_engine())
@@ -313,6 +318,15 @@
     query.time_left_ms = time_left_ms;
     query.standing = request.standing;
     query.urgency = request.urgency;
+    if (admits_by_objective(service_info))
+    {
+        query.objective_ms -= to_ms(now - request.arrived);
+        query.service_ms = service_ms;
+        const auto known = prediction_errors_.find(service_info.id);
+        if (known != prediction_errors_.end())
+            query.error_factor = known->second.factor();
+        return objective_admission(options_.mechanisms).max_wait_ms(query);
+    }
     return uniform_admission(options_.mechanisms).max_wait_ms(query);
 }
 
@@ -400,9 +414,8 @@
     const service* service_info = find_service(target_service);
     if (service_info == nullptr)
         return refuse_without_endpoint(now, request, target_service);
-    const double allowed_ms = repeated
-                                  ? std::numeric_limits<double>::infinity()
-                                  : max_wait_ms(now, request, *service_info);
+    double allowed_ms = repeated ? std::numeric_limits<double>::infinity()
+                                 : max_wait_ms(now, request, *service_info, 0);
     // A negative limit refuses every request, so endpoints are not evaluated:
     // an account that floods the instance must not take processor time from
     // other accounts.
@@ -414,6 +427,10 @@
         context, usable_endpoints(now, request, *service_info, tried));
     if (!best)
         return refuse_without_endpoint(now, request, target_service);
+    if (!repeated && admits_by_objective(*service_info))
+        allowed_ms = max_wait_ms(now, request, *service_info,
+                                 best->prefill_ms +
+                                     context.figures.first_ms * best->slowdown);
     // The request is refused rather than sent to an engine with a shorter wait
     // that would have to repeat the whole prefill: under load that costs other
     // requests more than the refusal does.
--- /dev/null
+++ b/packages/core/unittests/direct_room_test.cpp
@@ -0,0 +1,193 @@
+// Tests of who is admitted when there is too little room, with model engines.
+// Each test names the load.
+#include "fleet_simulation.hpp"
+
+#include "sycamorelock/core/direct/admission.hpp"
+#include "sycamorelock/core/direct/prediction_error.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace model;
+
+namespace
+{
+
+/// Small prompts with a tight objective beside large ones with a loose one.
+simulation_config competing_config()
+{
+    simulation_config plan;
+    plan.request_types = {
+        {"large", 58.3, 13300, 3720, 120, 206, 1000, 6000},
+        {"middle", 43.7, 6300, 2890, 52, 68, 1000, 6000},
+        {"small", 86.9, 350, 1110, 171, 136, 600, 6000},
+    };
+    plan.accounts = atlas_config().accounts;
+    plan.reports_slowdown = true;
+    return plan;
+}
+
+double share(unsigned part, unsigned whole)
+{
+    return whole == 0 ? 0 : static_cast<double>(part) / whole;
+}
+
+/// A request of an idle fleet whose account is within its share.
+direct::admission_query usual_query()
+{
+    direct::admission_query query;
+    query.objective_ms = 1000;
+    query.tightest_objective_ms = 600;
+    query.time_left_ms = 6000;
+    query.service_ms = 100;
+    return query;
+}
+
+struct room_results
+{
+    request_counts total;
+    request_counts large;
+    request_counts small;
+    /// Requests of the accounts that ask for least.
+    request_counts small_accounts;
+};
+
+/// Runs twice the load of the plan for 8 s.
+room_results run_twice_the_load(const simulation_config& plan)
+{
+    fleet_simulation world(plan);
+    world.run(6);
+    world.set_traffic_factor(2);
+    world.run(2);
+    world.reset_results();
+    world.run(8);
+    room_results results{world.total_counts(),
+                         world.counts_of_type("large"),
+                         world.counts_of_type("small"),
+                         {}};
+    for (int i = 8; i < 16; ++i)
+    {
+        const request_counts& counts =
+            world.counts_of_account("account-" + std::to_string(i));
+        results.small_accounts.offered_requests += counts.offered_requests;
+        results.small_accounts.on_time += counts.on_time;
+    }
+    return results;
+}
+
+} // namespace
+
+// Engines are asked for twice what they can do, and accounts have no shares.
+// With one limit for all requests, 1,517 are on time and 128 late; with limits
+// by objective 1,878 and 31.
+Test(direct_room, twice_the_load_that_engines_can_serve)
+{
+    simulation_config plan = competing_config();
+    plan.tokens_per_second = 0;
+    const room_results with = run_twice_the_load(plan);
+    plan.mechanisms.switch_off(direct::mechanism::objective_admission);
+    const room_results without = run_twice_the_load(plan);
+    cr_expect_gt(with.total.on_time, without.total.on_time, "%u with, %u not",
+                 with.total.on_time, without.total.on_time);
+    cr_expect_gt(with.large.on_time, without.large.on_time, "%u with, %u not",
+                 with.large.on_time, without.large.on_time);
+    cr_expect_gt(with.small.on_time, without.small.on_time, "%u with, %u not",
+                 with.small.on_time, without.small.on_time);
+    cr_expect_lt(with.total.late, without.total.late, "%u with, %u not",
+                 with.total.late, without.total.late);
+}
+
+// Accounts ask for three times the configured throughput, and engines can do
+// more than that.
+Test(direct_room, accounts_beyond_their_share_use_idle_engines)
+{
+    simulation_config plan = competing_config();
+    const room_results with = run_twice_the_load(plan);
+    plan.mechanisms.switch_off(direct::mechanism::objective_admission);
+    const room_results without = run_twice_the_load(plan);
+    cr_expect_gt(with.total.on_time, without.total.on_time, "%u with, %u not",
+                 with.total.on_time, without.total.on_time);
+    cr_expect_gt(share(with.small_accounts.on_time,
+                       with.small_accounts.offered_requests),
+                 0.8, "%u of %u", with.small_accounts.on_time,
+                 with.small_accounts.offered_requests);
+}
+
+// Endpoints of earlier deployments do not report the slowdown of their
+// machines.
+Test(direct_room, a_service_without_reports_of_slowdown_is_served_as_before)
+{
+    simulation_config plan = competing_config();
+    plan.reports_slowdown = false;
+    const room_results with = run_twice_the_load(plan);
+    plan.mechanisms.switch_off(direct::mechanism::objective_admission);
+    const room_results without = run_twice_the_load(plan);
+    cr_expect_eq(with.total.on_time, without.total.on_time);
+    cr_expect_eq(with.total.refused, without.total.refused);
+    cr_expect_eq(with.total.late, without.total.late);
+}
+
+Test(direct_room, a_request_that_cannot_be_served_in_its_time_is_refused)
+{
+    const direct::objective_admission policy{{}};
+    direct::admission_query query = usual_query();
+    query.time_left_ms = 80;
+    cr_expect_lt(policy.max_wait_ms(query), 0);
+}
+
+Test(direct_room, an_idle_endpoint_is_used_by_a_prompt_beyond_its_objective)
+{
+    const direct::objective_admission policy{{}};
+    direct::admission_query query = usual_query();
+    query.service_ms = 1500;
+    cr_expect_geq(policy.max_wait_ms(query), 0);
+}
+
+Test(direct_room, the_limit_follows_size_urgency_account_and_error)
+{
+    const direct::objective_admission policy{{}};
+    const direct::admission_query usual = usual_query();
+    const double limit = policy.max_wait_ms(usual);
+    direct::admission_query query = usual;
+    query.service_ms = 850;
+    cr_expect_lt(policy.max_wait_ms(query), limit);
+    query = usual;
+    query.urgency = 0;
+    cr_expect_gt(policy.max_wait_ms(query), limit);
+    query = usual;
+    query.standing = {1.2, 0.8};
+    cr_expect_lt(policy.max_wait_ms(query), limit);
+    query = usual;
+    query.standing = {4, 4};
+    cr_expect_lt(policy.max_wait_ms(query), 0);
+    query = usual;
+    query.service_ms = 300;
+    cr_expect_eq(policy.max_wait_ms(query), limit);
+    query.error_factor = 2;
+    cr_expect_lt(policy.max_wait_ms(query), limit);
+}
+
+// Requests with a loose objective may not fill the engines so far that those
+// with a tight one are refused.
+Test(direct_room, a_loose_objective_leaves_room_for_a_tight_one)
+{
+    const direct::objective_admission policy{{}};
+    direct::admission_query query = usual_query();
+    query.objective_ms = 10000;
+    cr_expect_lt(policy.max_wait_ms(query), query.tightest_objective_ms);
+}
+
+Test(direct_room, the_error_of_predictions_is_a_bounded_quantile)
+{
+    direct::prediction_error error;
+    cr_expect_float_eq(error.factor(), 1, 1e-9);
+    for (int i = 0; i < 2000; ++i)
+        error.observe(i % 5 == 0 ? 150 : 100, 100);
+    cr_expect(error.factor() > 1.4 && error.factor() < 1.6, "%f",
+              error.factor());
+    for (int i = 0; i < 2000; ++i)
+        error.observe(1000, 100);
+    cr_expect_leq(error.factor(), direct::prediction_error::max_factor);
+    for (int i = 0; i < 2000; ++i)
+        error.observe(50, 100);
+    cr_expect_float_eq(error.factor(), 1, 1e-9);
+}
--- a/test/model/fleet_simulation.cpp
+++ b/test/model/fleet_simulation.cpp
@@ -155,7 +155,14 @@
         records[record.boot] = record;
     }
     for (auto& router : routers_)
+    {
         router->set_endpoints(to_time_point(now_ms_), records);
+        if (!plan_.reports_slowdown)
+            continue;
+        for (const auto& [name, record] : records)
+            router->note_load(to_time_point(now_ms_), record,
+                              {0, 0, record.slots, 1.0});
+    }
 }
 
 void fleet_simulation::set_account_factor(const std::string& name,
--- a/test/model/fleet_simulation.hpp
+++ b/test/model/fleet_simulation.hpp
@@ -70,6 +70,8 @@
     double token_bytes = 0;
     double link_bytes_per_ms = 0;
     direct::mechanism_set mechanisms;
+    /// Whether engines report the slowdown of their machines.
+    bool reports_slowdown = false;
 };
 
 /// The deployment "atlas" at its nominal load.
