--- a/packages/core/include/sycamorelock/core/direct/mechanism.hpp
+++ b/packages/core/include/sycamorelock/core/direct/mechanism.hpp
@@ -57,6 +57,9 @@
     /// prefilled by engines of the own failure domain, if that is expected to
     /// save more traffic than it costs.
     domain_homes,
+    /// Where endpoints report the slowdown of their machines, the longest wait
+    /// of a request depends on its own objective, size and urgency.
+    objective_admission,
 };
 
 /// Name of a mechanism in settings.
@@ -81,6 +84,7 @@
     mechanism_name{mechanism::reading_progress, "reading_progress"},
     mechanism_name{mechanism::domain_price, "domain_price"},
     mechanism_name{mechanism::domain_homes, "domain_homes"},
+    mechanism_name{mechanism::objective_admission, "objective_admission"},
 };
 
 /// Returns the mechanism with this name, or nullopt if there is none.
