Soak: the balancer is in time while the actions are late

Cause: one thread played the actions, started processes, asked for readiness and took instances out of rotation. When it was late by 0.7 s, callers were sent to an instance whose listener had closed as it should, and counted as cut.

An instance now leaves the rotation at a moment that is set when it gets SIGTERM and that callers compare with the clock; readiness is asked by a thread of its own. A caller's thread that was late between picking and connecting picks again. No check was changed.

--- a/test/soak/soak_callers.cpp
+++ b/test/soak/soak_callers.cpp
@@ -40,12 +40,10 @@
     throw std::logic_error("no such route: " + path);
 }
 
-callers::callers(direct_fleet& fleet, std::size_t instances, std::size_t count,
-                 std::uint64_t seed)
-    : fleet_(fleet), in_rotation_(instances), random_(seed)
+callers::callers(direct_fleet& fleet, const rotation& balancer,
+                 std::size_t instances, std::size_t count, std::uint64_t seed)
+    : fleet_(fleet), balancer_(balancer), instances_(instances), random_(seed)
 {
-    for (auto& each : in_rotation_)
-        each = true;
     running_ = count;
     for (std::size_t i = 0; i < count; ++i)
         asio::co_spawn(runner_.context(), run(i), asio::detached);
@@ -57,11 +55,6 @@
     runner_.stop();
 }
 
-void callers::set_in_rotation(std::size_t instance, bool in)
-{
-    in_rotation_.at(instance) = in;
-}
-
 std::vector<record> callers::stop()
 {
     stop_ = true;
@@ -72,13 +65,13 @@
 
 std::size_t callers::pick(std::size_t number)
 {
-    const std::size_t count = in_rotation_.size();
+    const std::size_t count = instances_;
     const std::size_t first =
         std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
     for (std::size_t i = 0; i < count; ++i)
     {
         const std::size_t at = (first + i) % count;
-        if (in_rotation_[at])
+        if (balancer_.has(at))
             return at;
     }
     return number % count;
@@ -89,10 +82,14 @@
     while (!stop_)
     {
         const std::size_t instance = pick(number);
+        const bool was_in = balancer_.has(instance);
         beast::tcp_stream stream(co_await asio::this_coro::executor);
         stream.expires_after(connect_limit);
         auto [unconnected] = co_await stream.async_connect(
             endpoint_of(fleet_.at(instance).caller_address()), as_result);
+        // This thread was late: a balancer connects when it picks.
+        if (was_in && !balancer_.has(instance))
+            continue;
         int served = 0;
         while (!unconnected && !stop_ && served < requests_a_connection &&
                co_await ask_once(stream, instance, served > 0))
--- a/test/soak/soak_callers.hpp
+++ b/test/soak/soak_callers.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "direct_fleet.hpp"
+#include "soak_rotation.hpp"
 
 #include <atomic>
 #include <mutex>
@@ -27,12 +28,10 @@
 class callers
 {
   public:
-    callers(standin::direct_fleet& fleet, std::size_t instances,
-            std::size_t count, std::uint64_t seed);
+    callers(standin::direct_fleet& fleet, const rotation& balancer,
+            std::size_t instances, std::size_t count, std::uint64_t seed);
     ~callers();
 
-    /// Whether the balancer sends new connections there.
-    void set_in_rotation(std::size_t instance, bool in);
     /// Lets open requests end and returns all records.
     std::vector<record> stop();
 
@@ -43,7 +42,8 @@
     std::size_t pick(std::size_t number);
 
     standin::direct_fleet& fleet_;
-    std::vector<std::atomic<bool>> in_rotation_;
+    const rotation& balancer_;
+    std::size_t instances_;
     std::atomic<bool> stop_{false};
     std::atomic<std::size_t> running_{0};
     std::mt19937_64 random_;
--- a/test/soak/soak_run.cpp
+++ b/test/soak/soak_run.cpp
@@ -28,6 +28,8 @@
 /// An instance that was frozen ends so soon after it was woken, if its time for
 /// a shutdown is over.
 constexpr milliseconds longest_wake{1500};
+/// From SIGTERM until the balancer sends no more connections.
+constexpr milliseconds unready_notice{200};
 /// From the start of a process to its first statement.
 constexpr milliseconds longest_exec{500};
 /// Answers may be this much later than the time limit of a route.
@@ -58,8 +60,8 @@
     explicit round_of_soak(const round_plan& plan)
         : plan_(plan), script_(draw_script(plan.seed, plan.length)),
           fleet_(fleet_plan(plan)), states_(plan.instances),
-          launches_(plan.instances),
-          load_(fleet_, plan.instances, plan.callers, plan.seed)
+          launches_(plan.instances), balancer_(fleet_, plan.instances),
+          load_(fleet_, balancer_, plan.instances, plan.callers, plan.seed)
     {
     }
 
@@ -284,7 +286,7 @@
         if (states_[i] != state::up)
             return;
         states_[i] = state::down;
-        load_.set_in_rotation(i, false);
+        balancer_.take_out(i, clock::now());
         disturb(i, end + settle);
         fleet_.kill(fleet_.at(i));
         later(end, [this, i] { start(i); });
@@ -326,10 +328,9 @@
             return;
         states_[i] = state::leaving;
         launches_[i].terminated_at = clock::now();
-        ::kill(fleet_.at(i).pid, SIGTERM);
         // The balancer learns of it from the second question on.
-        later(at + milliseconds(200),
-              [this, i] { load_.set_in_rotation(i, false); });
+        balancer_.take_out(i, launches_[i].terminated_at + unready_notice);
+        ::kill(fleet_.at(i).pid, SIGTERM);
         wait_for_end(i, at, at + longest_shutdown);
     }
 
@@ -387,18 +388,7 @@
             std::filesystem::file_size(fleet_.at(i).log_file);
         fleet_.start(fleet_.at(i));
         states_[i] = state::up;
-        wait_until_ready(i);
-    }
-
-    void wait_until_ready(std::size_t i)
-    {
-        static constexpr milliseconds step{200};
-        if (states_[i] != state::up)
-            return;
-        if (fleet_.ready(fleet_.at(i)))
-            return load_.set_in_rotation(i, true);
-        const milliseconds at = in_ms(clock::now() - begin_);
-        later(at + step, [this, i] { wait_until_ready(i); });
+        balancer_.take_in_when_ready(i);
     }
 
     void check_processes()
@@ -622,6 +612,7 @@
     direct_fleet fleet_;
     std::vector<state> states_;
     std::vector<launch> launches_;
+    rotation balancer_;
     callers load_;
     clock::time_point begin_;
     std::multimap<milliseconds, std::function<void()>> due_;
