Test: endpoints and a store that send without end

Seen: a chunk extension, a chunk's size, trailers, an event and informational headers without end are taken until the limit of the route or of the stand-in, with some 760 MB of memory in the instance for framing; a body without a length passed 516 MB on.

--- a/test/standins/direct_engine.cpp
+++ b/test/standins/direct_engine.cpp
@@ -102,6 +102,15 @@
     fault_times_ = times;
 }
 
+void direct_engine::set_endless(const endless_bytes& what)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        endless_ = what;
+    }
+    set_fault(answer_fault::endless);
+}
+
 answer_fault direct_engine::take_fault()
 {
     const std::lock_guard lock(mutex_);
@@ -376,6 +385,15 @@
         more = co_await write(
             stream, make_response(http::status::internal_server_error, "bad"),
             asked);
+    else if (fault == answer_fault::endless)
+    {
+        endless_bytes what;
+        {
+            const std::lock_guard lock(mutex_);
+            what = endless_;
+        }
+        co_await send_endlessly(stream, std::move(what), endless_sent_);
+    }
     else if (fault == answer_fault::extra && !before.empty())
     {
         std::string bytes = before + own_answer;
--- a/test/standins/direct_engine.hpp
+++ b/test/standins/direct_engine.hpp
@@ -2,6 +2,7 @@
 // numbered events, or a plain service, with the faults its page tells of.
 #pragma once
 
+#include "endless.hpp"
 #include "http_server.hpp"
 
 #include <atomic>
@@ -31,6 +32,8 @@
     unframed,
     /// Sends the answer to the request before once more, first.
     extra,
+    /// Sends without end, see `set_endless`.
+    endless,
 };
 
 /// A request that reached an endpoint, whether it ran it or not.
@@ -93,6 +96,10 @@
     [[nodiscard]] std::string version() const;
     void set_version(const std::string& version);
     void set_fault(answer_fault fault, long cut_at = 0, int times = -1);
+    /// Sends these bytes without end instead of answers.
+    void set_endless(const endless_bytes& what);
+    /// Bytes sent so, over all connections.
+    [[nodiscard]] std::size_t endless_sent() const { return endless_sent_; }
     /// Another start of the endpoint, which declines what is meant for the old.
     void restart_as(const std::string& boot);
     /// Crashes under such requests from now on.
@@ -155,6 +162,8 @@
     std::size_t piece_size_ = 0;
     std::chrono::milliseconds piece_gap_{0};
     int fault_times_ = 0;
+    endless_bytes endless_;
+    std::atomic<std::size_t> endless_sent_{0};
     std::string answer_before_;
     std::optional<crash_rule> crash_rule_;
     std::function<void(const std::string&)> on_crash_change_;
--- a/test/standins/direct_store.cpp
+++ b/test/standins/direct_store.cpp
@@ -46,6 +46,13 @@
     history_.push_back({++revision_, key, "", true});
 }
 
+void direct_store::set_endless(const endless_bytes& what)
+{
+    const std::lock_guard lock(mutex_);
+    endless_ = what;
+    mode_ = store_mode::endless;
+}
+
 void direct_store::forget_history()
 {
     const std::lock_guard lock(mutex_);
@@ -146,6 +153,16 @@
         co_return false;
     while (mode_ == store_mode::silent)
         co_await sleep_for(poll_step);
+    if (mode_ == store_mode::endless)
+    {
+        endless_bytes what;
+        {
+            const std::lock_guard lock(mutex_);
+            what = endless_;
+        }
+        co_await send_endlessly(stream, std::move(what), endless_sent_);
+        co_return false;
+    }
     if (mode_ == store_mode::busy)
         co_return co_await write(
             stream, make_response(http::status::service_unavailable, ""),
--- a/test/standins/direct_store.hpp
+++ b/test/standins/direct_store.hpp
@@ -2,6 +2,7 @@
 // waiting watches, as its page describes them.
 #pragma once
 
+#include "endless.hpp"
 #include "http_server.hpp"
 
 #include <atomic>
@@ -20,6 +21,8 @@
     silent,
     /// Answers 503.
     busy,
+    /// Sends without end, see `set_endless`.
+    endless,
 };
 
 class direct_store
@@ -32,6 +35,10 @@
     void put(const std::string& key, const std::string& value);
     void remove(const std::string& key);
     void set_mode(store_mode mode) { mode_ = mode; }
+    /// Sends these bytes without end instead of answers.
+    void set_endless(const endless_bytes& what);
+    /// Bytes sent so, over all connections.
+    [[nodiscard]] std::size_t endless_sent() const { return endless_sent_; }
     /// Watches from before this moment get 410.
     void forget_history();
     [[nodiscard]] int calls() const { return calls_; }
@@ -59,6 +66,8 @@
     std::vector<change> history_;
     std::atomic<store_mode> mode_{store_mode::up};
     std::atomic<int> calls_{0};
+    endless_bytes endless_;
+    std::atomic<std::size_t> endless_sent_{0};
     background runner_;
     http_server server_;
 };
--- a/test/standins/endpoint.cpp
+++ b/test/standins/endpoint.cpp
@@ -48,6 +48,12 @@
     return crashes_;
 }
 
+void endpoint::set_endless(const endless_bytes& what)
+{
+    const std::lock_guard lock(mutex_);
+    endless_ = what;
+}
+
 bool endpoint::crash_under(const std::string& mark)
 {
     const std::lock_guard lock(mutex_);
@@ -102,9 +108,11 @@
         co_return co_await write(stream, std::move(load), asked);
     }
     const std::string mark = query_value(target, "mark");
+    std::optional<endless_bytes> endless;
     {
         const std::lock_guard lock(mutex_);
         ++started_by_mark_[mark];
+        endless = endless_;
     }
     ++started_;
     ++waiting_;
@@ -112,7 +120,9 @@
     --waiting_;
     const long tokens = query_number(target, "tokens", -1);
     bool more = false;
-    if (drop_answers_ || crash_under(mark))
+    if (endless)
+        co_await send_endlessly(stream, std::move(*endless), endless_sent_);
+    else if (drop_answers_ || crash_under(mark))
         more = false;
     else if (tokens >= 0)
         more = co_await stream_tokens(stream, asked, mark, tokens);
--- a/test/standins/endpoint.hpp
+++ b/test/standins/endpoint.hpp
@@ -1,10 +1,12 @@
 // Stand-in for a model engine and for a plain service.
 #pragma once
 
+#include "endless.hpp"
 #include "http_server.hpp"
 
 #include <atomic>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -48,6 +50,10 @@
     void send_odd_bytes(bool odd) { odd_bytes_ = odd; }
     /// Closes the connection instead of answering, after counting the run.
     void drop_answers(bool drop) { drop_answers_ = drop; }
+    /// Sends these bytes without end instead of answers.
+    void set_endless(const endless_bytes& what);
+    /// Bytes sent so, over all connections.
+    [[nodiscard]] std::size_t endless_sent() const { return endless_sent_; }
     /// Crashes instead of answering a call with this mark, and is back at its
     /// address after a time.
     void set_crash(const std::string& mark, std::chrono::milliseconds downtime);
@@ -82,6 +88,8 @@
     std::chrono::steady_clock::time_point load_at_;
     mutable std::mutex mutex_;
     std::map<std::string, int> started_by_mark_;
+    std::optional<endless_bytes> endless_;
+    std::atomic<std::size_t> endless_sent_{0};
     std::string crash_mark_;
     std::chrono::milliseconds downtime_{0};
     std::vector<std::chrono::steady_clock::time_point> crashes_;
