State of returns is bounded by the configuration's accounts

Places of accounts that a new configuration no longer names are dropped, and a route without targets recognises no returns.

--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -124,6 +124,8 @@
     update_stream_routes(now, *newer);
     config_ = std::move(newer);
     first_budgets_.clear();
+    std::erase_if(returns_beyond_share_, [this](const auto& entry)
+                  { return !config_->accounts.contains(entry.first); });
     update_default_estimates();
     for (auto& [id, state] : endpoints_)
         update_warmup_limit(state);
@@ -326,7 +328,7 @@
     duration& longest = first_budgets_[request.route_config->name];
     longest = std::max(longest, budget);
     const duration elapsed = longest - budget;
-    if (elapsed < min_pause ||
+    if (elapsed < min_pause || request.route_config->targets.empty() ||
         !promises_returns(request.route_config->targets.front().service))
         return;
     request.since_first_attempt = elapsed;
--- a/packages/core/unittests/direct_room_test.cpp
+++ b/packages/core/unittests/direct_room_test.cpp
@@ -314,3 +314,26 @@
     cr_expect_not(other.redeem_promise(now + pause,
                                        core::account_id::of("south"), pause));
 }
+
+// Endpoints of earlier deployments do not report the slowdown of their
+// machines.
+Test(direct_room, a_service_without_reports_of_slowdown_promises_nothing)
+{
+    simulation_config plan = returning_config();
+    plan.reports_slowdown = false;
+    const auto results = [](const simulation_config& of)
+    {
+        fleet_simulation world(of);
+        start_excess(world);
+        world.run(8);
+        cr_expect_eq(world.returns().promised, 0);
+        return world.total_counts();
+    };
+    const request_counts with = results(plan);
+    plan.mechanisms.switch_off(direct::mechanism::promised_returns);
+    plan.mechanisms.switch_off(direct::mechanism::objective_admission);
+    const request_counts without = results(plan);
+    cr_expect_eq(with.on_time, without.on_time);
+    cr_expect_eq(with.late, without.late);
+    cr_expect_eq(with.refused, without.refused);
+}
