--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
@@ -33,6 +33,10 @@
     std::uint64_t termination_checks = 0;
     /// Attempts at silent endpoints that went on, as no other took the request.
     std::uint64_t kept = 0;
+    /// Attempts sent to another failure domain, and the bytes of their request
+    /// and answer bodies.
+    std::uint64_t sent_away = 0;
+    std::uint64_t bytes_away = 0;
     std::uint64_t reports_sent = 0;
     std::uint64_t reports_received = 0;
     std::map<std::string, std::uint64_t> refused;
--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -173,6 +173,8 @@
     release();
     const core::direct::attempt_outcome outcome = outcome_of(end);
     context_.router.finished(now(), placed_, outcome);
+    if (placed_.leaves_domain)
+        context_.metrics.bytes_away += answer_size_;
     if (outcome == core::direct::attempt_outcome::succeeded)
         context_.router.note_answer(request_.profile,
                                     static_cast<double>(answer_size_));
@@ -367,6 +369,11 @@
                           error_code error, std::size_t) { *done = !error; });
     context_.router.written(now(), placed_);
     request_.sent();
+    if (placed_.leaves_domain)
+    {
+        ++context_.metrics.sent_away;
+        context_.metrics.bytes_away += asked.body().size();
+    }
     if (request_.secure_next)
         expect_within(
             scaled(request_.profile.route_config->objective, silence_factor));
--- a/packages/adapters/lib/direct/traffic_metrics.cpp
+++ b/packages/adapters/lib/direct/traffic_metrics.cpp
@@ -47,6 +47,12 @@
     single(out, "silent_endpoints_kept_total", "counter",
            "Requests that went on at a silent endpoint, as no other took them.",
            kept);
+    single(out, "requests_sent_away_total", "counter",
+           "Attempts sent to an endpoint in another failure domain.",
+           sent_away);
+    single(out, "bytes_sent_away_total", "counter",
+           "Bytes of the bodies of such requests and of their answers.",
+           bytes_away);
     single(out, "reports_sent_total", "counter",
            "Reports made for other instances.", reports_sent);
     single(out, "reports_received_total", "counter",
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -120,6 +120,10 @@
     /// was chosen.
     double slowdown = 1;
     std::optional<fetch_plan> fetch;
+    /// Terms of the cost that the endpoint was chosen by.
+    placement_cost cost;
+    /// Whether the endpoint is in another failure domain than this instance.
+    bool leaves_domain = false;
     load_ledger::request_load request_load;
     /// Time at which the attempt began to occupy a slot, before its connection
     /// is established.
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -529,6 +529,8 @@
     result.wait_ms = best.wait_ms;
     result.cached_tokens = best.cached;
     result.slowdown = best.slowdown;
+    result.cost = best.cost;
+    result.leaves_domain = best.state->record.domain != options_.domain;
     result.predicted_ms = best.wait_ms + best.prefill_ms;
     result.request_load.endpoint = best.state->id;
     result.request_load.tokens =
