--- a/packages/core/include/sycamorelock/core/direct/domain_demand.hpp
+++ b/packages/core/include/sycamorelock/core/direct/domain_demand.hpp
@@ -17,7 +17,11 @@
   public:
     static constexpr duration time_constant = std::chrono::seconds(15);
 
-    void add(time_point now) { value_ = at(now) + 1, at_ = now; }
+    void add(time_point now)
+    {
+        value_ = at(now) + 1;
+        at_ = now;
+    }
     [[nodiscard]] double at(time_point now) const;
 
   private:
