Test: a refusal without the mark that nothing ran is not passed on

Fails on this commit: an endpoint runs a request that may run once and answers 408, 429 or 503 without saying that it did not run it; the caller got that status, which promises that the request has not run.

--- a/test/integration/endless_test.cpp
+++ b/test/integration/endless_test.cpp
@@ -240,3 +240,20 @@
         }
     }
 }
+
+// Guards against REFUSED: an endpoint that has run a request answers with a
+// status that promises the contrary, and does not say that it did not run it.
+Test(endless, a_refusal_without_the_mark_is_not_passed_on)
+{
+    for (const char* status : {"408", "429", "503"})
+    {
+        direct_fleet fleet(one_of_each());
+        fleet.plain(0).set_endless({std::string("HTTP/1.1 ") + status +
+                                        " Refused\r\nContent-Length: 0\r\n\r\n",
+                                    "z"});
+        const direct_call asked = fleet.make_call(0, "/order/x");
+        const direct_answer got = ask(asked);
+        cr_expect_eq(fleet.runs_of(asked.id), 1);
+        cr_expect_eq(got.status, 502U, "%s: status %u", status, got.status);
+    }
+}
