An endpoint's refusal without its mark is no promise to a caller

Cause: whatever status an endpoint answered was passed on, also 408, 421, 429 and 503, which promise that the request has not run. Only the mark says that. For requests that may run once such an answer now ends the attempt as failed: the caller gets 502. Others are answered as before.

endless/a_refusal_without_the_mark_is_not_passed_on: failed for 408, 429 and 503 before, passes now.

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -67,6 +67,21 @@
     return std::chrono::duration_cast<milliseconds>(deadline - now());
 }
 
+/// Statuses that promise a caller that its request has not run.
+bool promises_no_run(unsigned status)
+{
+    switch (static_cast<http::status>(status))
+    {
+    case http::status::request_timeout:
+    case http::status::misdirected_request:
+    case http::status::too_many_requests:
+    case http::status::service_unavailable:
+        return true;
+    default:
+        return false;
+    }
+}
+
 } // namespace
 
 std::string_view to_string(attempt_end end)
@@ -508,6 +523,11 @@
         why_ = "declined";
         co_return attempt_end::not_run;
     }
+    // Only the mark tells that an endpoint did not run the request. Callers
+    // repeat what may run often anyway.
+    if (promises_no_run(status_) &&
+        !request_.profile.route_config->repeatable())
+        co_return stopped("unmarked_refusal");
     answers_ = true;
     has_events_ =
         http::to_status_class(header.result_int()) ==
