Predicted times use the slowdown that endpoints report

Engines of one service differ by 2.4 times for good and by 2.5 times for parts of a second; an instance of a large fleet sees a first token of each too rarely to learn either. slowdown_tracker keeps the lasting slowdown (time-weighted lower quartile of recent reports) and the present one (the newest report while a disturbance may last; the mean over the work of a request, as it may end before). The observed slowdown stays as a factor on top, with the report divided out. Work of plain services that report is learned. Notes pass between routers; the wire does not have them yet.

--- a/packages/core/include/sycamorelock/core/direct/exchange.hpp
+++ b/packages/core/include/sycamorelock/core/direct/exchange.hpp
@@ -9,6 +9,7 @@
 #include "sycamorelock/core/direct/engine_estimator.hpp"
 #include "sycamorelock/core/direct/load_ledger.hpp"
 #include "sycamorelock/core/direct/prefix_cache.hpp"
+#include "sycamorelock/core/direct/slowdown_tracker.hpp"
 #include "sycamorelock/core/direct/stream_releases.hpp"
 
 #include <optional>
@@ -146,6 +147,9 @@
     std::optional<release_history> releases;
     /// Evidence of requests that crash endpoints.
     std::vector<crash_note> crashes;
+    /// Slowdowns that endpoints reported to the sender, or to the instances
+    /// whose notes it relays.
+    std::vector<slowdown_note> slowdowns;
 };
 
 } // namespace sycamorelock::core::direct
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -115,6 +115,10 @@
     /// Slowdown factor (observed over predicted time) of the endpoint when it
     /// was chosen.
     double slowdown = 1;
+    /// What the endpoint reported of itself, empty if it reports nothing, and
+    /// the part of `slowdown` that follows from it.
+    std::optional<slowdown_belief> reported;
+    double reported_slowdown = 1;
     std::optional<fetch_plan> fetch;
     load_ledger::request_load request_load;
     /// Time at which the attempt began to occupy a slot, before its connection
@@ -276,6 +280,12 @@
     /// Records the load that an endpoint reported in a response.
     void note_load(time_point now, const endpoint_record& from,
                    const endpoint_load& load);
+    /// Processes slowdowns that other instances passed on.
+    void on_slowdowns(time_point now, std::span<const slowdown_note> notes);
+    [[nodiscard]] const slowdown_tracker& slowdowns() const
+    {
+        return slowdowns_;
+    }
     /// Whether an endpoint of the service reports how much its machine is
     /// slowed at present. Decisions about uneven endpoints and scarce room
     /// apply to such services.
@@ -469,6 +479,8 @@
         double prefill_ms = 0;
         double cached = 0;
         double slowdown = 1;
+        std::optional<slowdown_belief> reported;
+        double reported_slowdown = 1;
         /// Number of further requests that get a slot immediately, and the
         /// wait, in ms, that each request beyond them adds.
         double free_slots = 0;
@@ -504,6 +516,9 @@
         hold_time hold_estimate;
         prompt_source source;
 
+        /// Mean processing time, in ms, of a request to a plain service.
+        double plain_work_ms = 0;
+
         /// Mean time, in ms, for which a request of the service occupies a
         /// slot.
         [[nodiscard]] double mean_hold_ms() const;
@@ -524,7 +539,11 @@
                                      const endpoint_state& endpoint) const;
     void evaluate_engine(const request_context& context,
                          candidate& result) const;
-    void evaluate_plain(candidate& result) const;
+    /// Multiplies the observed slowdown by the one that the endpoint reports,
+    /// for the given amount of work.
+    static void apply_reported_slowdown(double work_ms, candidate& result);
+    void evaluate_plain(const request_context& context,
+                        candidate& result) const;
     /// Chooses the best of the endpoints that the request may be sent to.
     [[nodiscard]] std::optional<candidate>
     choose_endpoint(const request_context& context,
@@ -595,6 +614,16 @@
     void apply_notices(endpoint_id endpoint);
     /// Estimated time for which requests of a service occupy a slot.
     [[nodiscard]] hold_time hold_time_of(const service& service_info) const;
+    /// Mean processing time, in ms, of a request to a plain service on a
+    /// machine with slowdown 1. Learned where endpoints report a slowdown.
+    [[nodiscard]] double plain_work_ms(service_id service) const;
+    void record_plain_work(const placement_decision& placement,
+                           double observed_ms);
+    /// Ratio of the mean of the slowdowns that an endpoint reported before and
+    /// after the first token to the one that the placement assumed; 1 if the
+    /// endpoint reports none.
+    [[nodiscard]] double
+    slowdown_change(time_point now, const placement_decision& placement) const;
     /// Updates the estimate from a completed request.
     void record_hold_time(time_point now, const placement_decision& placement);
     [[nodiscard]] double prefill_cost_factor() const;
@@ -663,6 +692,7 @@
     fetch_links fetch_links_;
     std::map<service_id, engine_estimator> estimators_;
     std::map<service_id, hold_time> hold_times_;
+    std::map<service_id, hold_time> plain_work_;
     std::map<service_id, admission_rates> admissions_;
     account_shares account_shares_;
     std::map<service_id, retry_budget> budgets_;
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -31,6 +31,13 @@
 /// until the first response has completed: two hundred tokens at human reading
 /// speed.
 constexpr double default_answer_ms = 5000;
+/// Default mean processing time, in ms, of a request to a plain service, used
+/// to predict the wait for a slot.
+constexpr double default_plain_work_ms = 30;
+/// A predicted wait of this length, in ms, halves the weight of an observed
+/// first token in the slowdown of an endpoint that reports its own: wrong
+/// waits are no property of the endpoint.
+constexpr double half_weight_wait_ms = 50;
 /// Maximum number of prompt parts in a copy of the KV cache estimates. A part
 /// takes 12 bytes, which limits the copy to about 250 KB.
 constexpr std::size_t max_copied_parts = 20000;
@@ -199,6 +206,17 @@
         slowdowns_.note_load(now, endpoint, load);
 }
 
+void router::on_slowdowns(time_point now, std::span<const slowdown_note> notes)
+{
+    if (!uses(mechanism::slowdown_news))
+        return;
+    for (const slowdown_note& each : notes)
+    {
+        if (endpoints_.contains(each.endpoint))
+            slowdowns_.add_remote(now, each);
+    }
+}
+
 bool router::reports_slowdown(service_id service) const
 {
     const endpoint_list listed = endpoints_of(service);
@@ -408,9 +426,17 @@
     }
     const double observed_first_token_ms = to_ms(now - sent);
     const auto found = endpoints_.find(placement.request_load.endpoint);
+    // A change of the reported slowdown must not count as observed slowdown
+    // too.
+    const double change = slowdown_change(now, placement);
     if (found != endpoints_.end())
-        found->second.health.record_first_token(now, observed_first_token_ms,
-                                                placement.predicted_ms);
+        found->second.health.record_first_token(
+            now, observed_first_token_ms, placement.predicted_ms * change,
+            placement.reported ? half_weight_wait_ms /
+                                     (half_weight_wait_ms + placement.wait_ms)
+                               : 1);
+    if (placement.reported)
+        record_plain_work(placement, observed_first_token_ms / change);
     const auto estimator = estimators_.find(placement.endpoint.service);
     const bool is_cold =
         found != endpoints_.end() && found->second.is_limited(now);
@@ -422,10 +448,42 @@
     observed.uncached = request.prompt_tokens - placement.cached_tokens;
     observed.wait_ms = placement.wait_ms;
     observed.observed_first_token_ms =
-        (observed_first_token_ms - placement.wait_ms) / placement.slowdown;
+        (observed_first_token_ms - placement.wait_ms) /
+        (placement.slowdown * change);
     estimator->second.observe(now, observed);
 }
 
+double router::slowdown_change(time_point now,
+                               const placement_decision& placement) const
+{
+    if (!placement.reported)
+        return 1;
+    const auto known = slowdowns_.belief(now, placement.request_load.endpoint);
+    return known ? (placement.reported->present + known->present) / 2 /
+                       placement.reported_slowdown
+                 : 1;
+}
+
+double router::plain_work_ms(service_id service) const
+{
+    const auto learned = plain_work_.find(service);
+    return learned == plain_work_.end() ? default_plain_work_ms
+                                        : learned->second.mean_ms();
+}
+
+void router::record_plain_work(const placement_decision& placement,
+                               double observed_ms)
+{
+    const service* service_info = find_service(placement.endpoint.service);
+    // With a wait, the observed time tells more of the other requests than of
+    // this one.
+    if (service_info == nullptr || service_info->is_engine() ||
+        placement.wait_ms > 0)
+        return;
+    plain_work_.try_emplace(service_info->id, hold_time(default_plain_work_ms))
+        .first->second.observe(observed_ms / placement.slowdown);
+}
+
 void router::record_hold_time(time_point now,
                               const placement_decision& placement)
 {
@@ -483,6 +541,7 @@
     on_cache_notes(now, report.notes);
     on_streams(now, report.streams);
     crashes_.add_remote(now, report.crashes);
+    on_slowdowns(now, report.slowdowns);
     for (const service_figures& received : report.figures)
     {
         const auto known = estimators_.find(received.service);
@@ -577,6 +636,10 @@
     report.demands = account_shares_.own(now);
     report.streams = streams_.take_unreported(now);
     report.crashes = crashes_.take_unreported(now);
+    slowdowns_.expire(now);
+    report.slowdowns.clear();
+    if (uses(mechanism::slowdown_news))
+        report.slowdowns = slowdowns_.take_unreported(now);
     report.wants_streams = streams_.wants_streams(now);
     report.wants_releases = streams_.wants_releases(now);
     report.warming.clear();
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -34,9 +34,6 @@
 /// Maximum of the term that breaks ties, in ms. It is derived from a hash, so
 /// that all instances agree on the order of the endpoints.
 constexpr double max_tie_break_ms = 15;
-/// Default mean processing time, in ms, of a request to a plain service, used
-/// to predict the wait for a slot.
-constexpr double default_plain_work_ms = 30;
 /// Fraction of an engine's slots that placements may use. The remainder is
 /// reserved for requests of other instances that have not been reported yet.
 /// In the engine model, with engines slowed down by a factor of three, it
@@ -115,7 +112,8 @@
             learned == estimators_.end() ? prefill_cost_model()
                                          : learned->second.figures(),
             hold_time_of(service_info),
-            find_source(now, request, service_info)};
+            find_source(now, request, service_info),
+            plain_work_ms(service_info.id)};
 }
 
 void router::evaluate_fetch(const request_context& context,
@@ -143,6 +141,15 @@
         fetch_plan{source->id, source->record.address, tokens, transfer_ms};
 }
 
+void router::apply_reported_slowdown(double work_ms, candidate& result)
+{
+    if (!result.reported)
+        return;
+    result.reported_slowdown = result.reported->over(work_ms);
+    // The observed slowdown corrects the reported one.
+    result.slowdown *= result.reported_slowdown;
+}
+
 void router::evaluate_engine(const request_context& context,
                              candidate& result) const
 {
@@ -151,6 +158,8 @@
     const double slots = std::max(1U, result.state->record.slots);
     result.cached = std::min(cache_.cached(id, context.request.parts),
                              context.request.prompt_tokens);
+    apply_reported_slowdown(work.unread_ms + context.prefill_ms(result.cached),
+                            result);
     result.prefill_ms = context.prefill_ms(result.cached) * result.slowdown;
     result.free_slots =
         slots * usable_slot_fraction - work.running - work.waiting;
@@ -169,11 +178,13 @@
     evaluate_fetch(context, result);
 }
 
-void router::evaluate_plain(candidate& result) const
+void router::evaluate_plain(const request_context& context,
+                            candidate& result) const
 {
     const unsigned waiting = ledger_.total(result.state->id).waiting;
     const double slots = std::max(1U, result.state->record.slots);
-    result.prefill_ms = default_plain_work_ms * result.slowdown;
+    apply_reported_slowdown(context.plain_work_ms, result);
+    result.prefill_ms = context.plain_work_ms * result.slowdown;
     result.free_slots = slots - waiting;
     result.ms_per_request = result.prefill_ms / slots;
     result.wait_ms =
@@ -189,10 +200,12 @@
     result.state = &endpoint;
     if (uses(mechanism::engine_speed))
         result.slowdown = endpoint.health.slowdown(context.now);
+    if (uses(mechanism::reported_slowdown))
+        result.reported = slowdowns_.belief(context.now, endpoint.id);
     if (context.service_info.is_engine())
         evaluate_engine(context, result);
     else
-        evaluate_plain(result);
+        evaluate_plain(context, result);
     if (uses(mechanism::failure_price))
         result.cost.failure =
             endpoint.health.failure_rate(context.now) * failure_cost_ms;
@@ -207,8 +220,7 @@
 
 double router::request_context::mean_hold_ms() const
 {
-    return service_info.is_engine() ? hold_estimate.mean_ms()
-                                    : default_plain_work_ms;
+    return service_info.is_engine() ? hold_estimate.mean_ms() : plain_work_ms;
 }
 
 double router::unreported_completions(const request_context& context,
@@ -304,7 +316,7 @@
 {
     const double time_left_ms = to_ms(request.deadline - now);
     if (!service_info.is_engine())
-        return std::min(max_plain_backlog * default_plain_work_ms,
+        return std::min(max_plain_backlog * plain_work_ms(service_info.id),
                         time_left_ms);
     admission_query query;
     query.objective_ms = to_ms(request.route_config->objective);
@@ -451,6 +463,8 @@
     result.wait_ms = best.wait_ms;
     result.cached_tokens = best.cached;
     result.slowdown = best.slowdown;
+    result.reported = best.reported;
+    result.reported_slowdown = best.reported_slowdown;
     result.predicted_ms = best.wait_ms + best.prefill_ms;
     result.request_load.endpoint = best.state->id;
     result.request_load.tokens =
--- a/test/model/fleet_simulation.cpp
+++ b/test/model/fleet_simulation.cpp
@@ -196,6 +196,9 @@
     account_counts_.clear();
     served_tokens_.clear();
     prediction_errors_.clear();
+    log_errors_.clear();
+    predicted_on_time_ = 0;
+    late_of_predicted_on_time_ = 0;
     std::fill(sent_to_engine_.begin(), sent_to_engine_.end(), 0U);
 }
 
@@ -383,18 +386,54 @@
     return *middle;
 }
 
+double fleet_simulation::log_error_quantile(double fraction) const
+{
+    std::vector<double> sorted = log_errors_;
+    if (sorted.empty())
+        return 0;
+    const auto at =
+        sorted.begin() + static_cast<std::ptrdiff_t>(
+                             fraction * static_cast<double>(sorted.size() - 1));
+    std::nth_element(sorted.begin(), at, sorted.end());
+    return *at;
+}
+
+double fleet_simulation::late_of_predicted_on_time() const
+{
+    return predicted_on_time_ == 0
+               ? 0
+               : static_cast<double>(late_of_predicted_on_time_) /
+                     predicted_on_time_;
+}
+
 void fleet_simulation::on_first_token(std::uint64_t id, double at_ms)
 {
     const auto found = open_requests_.find(id);
     if (found == open_requests_.end())
         return;
     open_request& request = found->second;
+    if (plan_.reported_slowdown)
+    {
+        direct::endpoint_load load;
+        load.slowdown = plan_.reported_slowdown(request.engine);
+        routers_[request.router]->note_load(to_time_point(at_ms),
+                                            request.placed.endpoint, load);
+    }
     routers_[request.router]->first_token(to_time_point(at_ms), request.profile,
                                           request.placed, request.sent);
     const double observed_ms = std::max(1.0, at_ms - request.arrived_ms);
     prediction_errors_.push_back(
         std::abs(request.placed.predicted_ms - observed_ms) / observed_ms);
     const bool on_time = at_ms - request.arrived_ms <= request.objective_ms;
+    static constexpr double allowance_ms = 20;
+    log_errors_.push_back(
+        std::abs(std::log((observed_ms + allowance_ms) /
+                          (request.placed.predicted_ms + allowance_ms))));
+    if (request.placed.predicted_ms <= request.objective_ms)
+    {
+        ++predicted_on_time_;
+        late_of_predicted_on_time_ += on_time ? 0 : 1;
+    }
     unsigned request_counts::*const counter =
         on_time ? &request_counts::on_time : &request_counts::late;
     ++(type_counts_[request.type].*counter);
@@ -425,8 +464,17 @@
         direct::exchange_report report;
         report.sender = "router-" + std::to_string(i);
         routers_[i]->fill_report(to_time_point(now_ms_), report);
+        double additional_delay_ms = 0;
+        if (plan_.report_delay_spread_ms > 0)
+            additional_delay_ms = std::uniform_real_distribution<double>(
+                0, plan_.report_delay_spread_ms)(generator_);
+        // Relays add the time for which they hold a note to its age.
+        for (direct::slowdown_note& note : report.slowdowns)
+            note.age += std::chrono::milliseconds(
+                static_cast<long>(plan_.report_delay_ms + additional_delay_ms));
         pending_reports_.push_back(
-            {now_ms_ + plan_.report_delay_ms, i, std::move(report)});
+            {now_ms_ + plan_.report_delay_ms + additional_delay_ms, i,
+             std::move(report)});
     }
     const auto due = std::stable_partition(
         pending_reports_.begin(), pending_reports_.end(),
--- a/test/model/fleet_simulation.hpp
+++ b/test/model/fleet_simulation.hpp
@@ -7,6 +7,7 @@
 
 #include "sycamorelock/core/direct/router.hpp"
 
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -70,6 +71,11 @@
     double token_bytes = 0;
     double link_bytes_per_ms = 0;
     direct::mechanism_set mechanisms;
+    /// Additional report delay, drawn for each report.
+    double report_delay_spread_ms = 0;
+    /// Slowdown that an engine reports with each first token; engines report
+    /// none if empty.
+    std::function<std::optional<double>(std::size_t engine)> reported_slowdown;
 };
 
 /// The deployment "atlas" at its nominal load.
@@ -154,6 +160,11 @@
     /// Median relative error of the predicted time to first token:
     /// abs(predicted - observed) / observed.
     [[nodiscard]] double median_prediction_error() const;
+    /// Quantile of abs(log(observed / predicted)) of the times to first token,
+    /// with 20 ms added to both for delays that the engine does not cause.
+    [[nodiscard]] double log_error_quantile(double fraction) const;
+    /// Fraction of late first tokens among those that were predicted in time.
+    [[nodiscard]] double late_of_predicted_on_time() const;
     /// Requests sent to a range of engines since results were last reset.
     [[nodiscard]] unsigned requests_sent_to(std::size_t first,
                                             std::size_t count) const;
@@ -227,6 +238,9 @@
     std::vector<pending_submission> pending_submissions_;
     double tokens_fetched_ = 0;
     std::vector<double> prediction_errors_;
+    std::vector<double> log_errors_;
+    unsigned predicted_on_time_ = 0;
+    unsigned late_of_predicted_on_time_ = 0;
     std::map<std::uint64_t, open_request> open_requests_;
     std::map<std::string, double> account_factors_;
     std::map<std::string, request_counts> type_counts_;
