Reported slowdowns reach the other instances

An instance of a large fleet sees an answer of an engine every 9 s, the fleet several a second. Notes (endpoint, age, slowdown) of reports that differ from what is believed by more than 1.15, or that were not passed on for 10 s, travel with the periodic reports; slowdown_relay passes them through aggregators, keeps the newest of each endpoint, drops repetitions and adds the time that it holds them to their age. A note takes seven bytes.

--- a/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
@@ -12,6 +12,7 @@
 #include "sycamorelock/core/direct/exchange_tree.hpp"
 #include "sycamorelock/core/direct/note_relay.hpp"
 #include "sycamorelock/core/direct/peers.hpp"
+#include "sycamorelock/core/direct/slowdown_relay.hpp"
 #include "sycamorelock/core/direct/store_knowledge.hpp"
 #include "sycamorelock/core/direct/store_uptime.hpp"
 
@@ -90,6 +91,7 @@
     void learn_streams(core::direct::exchange_report copy);
     void use_streams(std::vector<core::direct::stream_note> told);
     void use_crashes(std::vector<core::crash_note> notes);
+    void use_slowdowns(std::vector<core::direct::slowdown_note> notes);
     /// Sends an instance that has started the evidence of requests that crash
     /// endpoints.
     void help_with_crashes(const core::direct::exchange_report& started);
@@ -148,6 +150,7 @@
     core::direct::note_relay relay_;
     core::direct::stream_relay stream_relay_;
     core::direct::crash_relay crash_relay_;
+    core::direct::slowdown_relay slowdown_relay_;
     /// Other failure domains whose aggregators were known at the last report.
     std::set<core::domain_id> reported_domains_;
     /// To which the own streams were told last.
--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_plane.hpp
@@ -76,6 +76,8 @@
     void requeue_stream_reports();
     /// Evidence of requests that crash endpoints, from other instances.
     void on_crashes(std::vector<core::crash_note> notes);
+    /// Slowdowns that endpoints reported to other instances.
+    void on_slowdowns(std::vector<core::direct::slowdown_note> notes);
     /// Calls `done` on the traffic thread with all evidence known here.
     void copy_crashes(std::function<void(std::vector<core::crash_note>)> done);
     /// Reports all evidence known here once more.
--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -149,6 +149,8 @@
     report.streams.clear();
     crash_relay_.add_own(std::move(report.crashes));
     report.crashes.clear();
+    slowdown_relay_.add_own(at, report.slowdowns);
+    report.slowdowns.clear();
     exchange_in_tree(at, std::move(report));
 }
 
@@ -179,6 +181,7 @@
     own.notes = relay_.take_own();
     own.streams = stream_relay_.take_own();
     own.crashes = crash_relay_.take_own();
+    own.slowdowns = slowdown_relay_.take_own(at);
     choose_reader(at, aggregator.empty());
     // What the one before was told last may have ended with it.
     if (aggregator != aggregator_)
@@ -219,6 +222,7 @@
     other.notes = relay_.take_domain();
     other.streams = stream_relay_.take_domain();
     other.crashes = crash_relay_.take_domain();
+    other.slowdowns = slowdown_relay_.take_domain(at);
     const std::set<core::domain_id> domains = peers_.other_domains(at);
     for (const core::domain_id domain : domains)
         tell(at, other, {peers_.aggregator(at, domain)});
@@ -231,6 +235,7 @@
     other.notes = relay_.take_all();
     other.streams = stream_relay_.take_all();
     other.crashes = crash_relay_.take_all();
+    other.slowdowns = slowdown_relay_.take_all(at);
     const core::direct::store_view view = confirmed_store_view(at);
     for (const std::string& member : tree_.members(at))
     {
@@ -274,6 +279,13 @@
         traffic_.on_crashes(std::move(notes));
 }
 
+void control_plane::use_slowdowns(
+    std::vector<core::direct::slowdown_note> notes)
+{
+    if (!notes.empty())
+        traffic_.on_slowdowns(std::move(notes));
+}
+
 void control_plane::take(exchange_report report)
 {
     using core::direct::report_part;
@@ -295,6 +307,8 @@
         use_streams(std::move(report.streams));
         crash_relay_.add_member(report.crashes);
         use_crashes(std::move(report.crashes));
+        slowdown_relay_.add_member(at, report.slowdowns);
+        use_slowdowns(std::move(report.slowdowns));
         break;
     case report_part::domain:
         knowledge_.confirm(at, report.store);
@@ -307,6 +321,8 @@
         use_streams(std::move(report.streams));
         crash_relay_.add_domain(report.crashes);
         use_crashes(std::move(report.crashes));
+        slowdown_relay_.add_domain(at, report.slowdowns);
+        use_slowdowns(std::move(report.slowdowns));
         break;
     case report_part::rest:
         use_rest({std::move(report.work), std::move(report.demands)},
@@ -314,6 +330,7 @@
         use_notes(std::move(report.notes));
         use_streams(std::move(report.streams));
         use_crashes(std::move(report.crashes));
+        use_slowdowns(std::move(report.slowdowns));
         break;
     case report_part::none:
     case report_part::copy:
@@ -409,6 +426,17 @@
     single(out, "crash_news_dropped_total", "counter",
            "Evidence of crashes that was left out of a round of reports.",
            crash_relay_.dropped());
+    single(
+        out, "slowdown_news_relayed_total", "counter",
+        "Slowdowns of endpoints that this instance passed to its aggregator.",
+        slowdown_relay_.told());
+    single(out, "slowdown_news_received_total", "counter",
+           "Slowdowns of endpoints that other instances passed to this one as "
+           "their aggregator.",
+           slowdown_relay_.received());
+    single(out, "slowdown_news_dropped_total", "counter",
+           "Those that others had passed on before, or that were too many.",
+           slowdown_relay_.dropped());
     single(out, "store_followed", "gauge",
            "Whether this instance reads the store itself.",
            std::uint64_t{store_.following() ? 1U : 0U});
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -161,6 +161,12 @@
                "Such requests forgotten before their time, as there were too "
                "many.",
                router_.crashes().dropped());
+        single(out, "endpoints_reporting_slowdown", "gauge",
+               "Endpoints that report how much their machine is slowed.",
+               std::uint64_t{router_.slowdowns().size()});
+        single(out, "endpoint_slowdown_largest", "gauge",
+               "Largest slowdown that an endpoint reports at present.",
+               router_.slowdowns().largest(now()));
         single(out, "endpoint_news_age_seconds", "gauge",
                "Age of what is known of endpoints.",
                std::chrono::duration<double>(news_.at(now())).count());
@@ -438,6 +444,12 @@
                { impl->on_crashes(notes); });
 }
 
+void traffic_plane::on_slowdowns(std::vector<core::direct::slowdown_note> notes)
+{
+    asio::post(impl_->io(), [impl = impl_, notes = std::move(notes)]
+               { impl->router().on_slowdowns(now(), notes); });
+}
+
 void traffic_plane::copy_crashes(
     std::function<void(std::vector<core::crash_note>)> done)
 {
--- a/packages/core/include/sycamorelock/core/direct/slowdown_tracker.hpp
+++ b/packages/core/include/sycamorelock/core/direct/slowdown_tracker.hpp
@@ -60,6 +60,9 @@
     /// instances that have started or were cut off.
     static constexpr duration repeat_interval = std::chrono::seconds(10);
 
+    /// Whether slowdowns differ by more than `told_factor`.
+    [[nodiscard]] static bool differs(double one, double other);
+
     /// Records the load that an endpoint reported in a response.
     void note_load(time_point now, endpoint_id endpoint,
                    const endpoint_load& load);
--- a/packages/core/lib/direct/slowdown_tracker.cpp
+++ b/packages/core/lib/direct/slowdown_tracker.cpp
@@ -18,12 +18,6 @@
 /// Intervals for which a report stands for those after it without any.
 constexpr std::int64_t max_interval_weight = 5;
 
-bool differs(double one, double other)
-{
-    return std::max(one, other) >
-           std::min(one, other) * slowdown_tracker::told_factor;
-}
-
 } // namespace
 
 double slowdown_belief::over(double work_ms) const
@@ -87,6 +81,11 @@
     return now - at < disturbance_time ? slowdown : lasting;
 }
 
+bool slowdown_tracker::differs(double one, double other)
+{
+    return std::max(one, other) > std::min(one, other) * told_factor;
+}
+
 void slowdown_tracker::note_load(time_point now, endpoint_id endpoint,
                                  const endpoint_load& load)
 {
--- a/packages/wire/lib/exchange_codec.cpp
+++ b/packages/wire/lib/exchange_codec.cpp
@@ -250,6 +250,45 @@
             std::chrono::milliseconds(item.age_ms())};
 }
 
+/// Ages travel in this unit, so that most take one byte.
+constexpr std::chrono::milliseconds slowdown_age_unit(10);
+constexpr double percent = 100;
+/// No endpoint that is in use is slower than this.
+constexpr std::uint32_t max_slowdown_percent = 10'000;
+
+void encode_slowdowns(const direct::exchange_report& report,
+                      pb::ExchangeReport& out)
+{
+    if (report.slowdowns.empty())
+        return;
+    pb::SlowdownNews& news = *out.mutable_slowdowns();
+    for (const direct::slowdown_note& note : report.slowdowns)
+    {
+        news.add_endpoints(note.endpoint.value());
+        news.add_percents(static_cast<std::uint32_t>(std::clamp<double>(
+            std::round(note.slowdown * percent), 1, max_slowdown_percent)));
+        news.add_ages(ms_of(note.age) /
+                      static_cast<std::uint32_t>(slowdown_age_unit.count()));
+    }
+}
+
+void decode_slowdowns(const pb::SlowdownNews& news,
+                      direct::exchange_report& report)
+{
+    if (news.percents_size() != news.endpoints_size() ||
+        news.ages_size() != news.endpoints_size())
+        throw decode_error("slowdowns have columns of different length");
+    for (int i = 0; i < news.endpoints_size(); ++i)
+    {
+        const std::uint32_t value = news.percents(i);
+        if (value == 0 || value > max_slowdown_percent)
+            throw decode_error("a slowdown is out of range");
+        report.slowdowns.push_back({core::endpoint_id(news.endpoints(i)),
+                                    news.ages(i) * slowdown_age_unit,
+                                    value / percent});
+    }
+}
+
 int count_streams(const pb::ExchangeReport& message)
 {
     int count = 0;
@@ -268,6 +307,7 @@
                           message.warming_size() > max_items ||
                           count_streams(message) > max_items ||
                           message.crashes_size() > max_items ||
+                          message.slowdowns().endpoints_size() > max_items ||
                           message.releases().seen_size() > max_items ||
                           message.store().endpoints_size() > max_items ||
                           message.store().drains_size() > max_items;
@@ -329,6 +369,7 @@
     }
     encode_streams(report, out);
     encode_crashes(report, out);
+    encode_slowdowns(report, out);
     encode_store(report.store, *out.mutable_store());
     std::string bytes = out.SerializeAsString();
     const message_tag tag = make_tag(bytes, key);
@@ -383,6 +424,7 @@
     decode_streams(message, report);
     for (const pb::CrashNews& item : message.crashes())
         report.crashes.push_back(decode_crash(item));
+    decode_slowdowns(message.slowdowns(), report);
     report.store = decode_store(message.store());
     return report;
 }
--- a/packages/wire/unittests/exchange_codec_test.cpp
+++ b/packages/wire/unittests/exchange_codec_test.cpp
@@ -183,6 +183,41 @@
     cr_expect_throw(back_and_forth(sent), wire::decode_error);
 }
 
+Test(exchange_codec, slowdowns_come_out_as_they_went_in)
+{
+    using std::chrono::milliseconds;
+    core::direct::exchange_report sent;
+    sent.slowdowns = {
+        {core::endpoint_id::of("e"), milliseconds(130), 4.25},
+        {core::endpoint_id::of("f"), milliseconds(0), 0.7},
+    };
+    const auto got = back_and_forth(sent).slowdowns;
+    cr_assert_eq(got.size(), 2U);
+    for (std::size_t i = 0; i < got.size(); ++i)
+    {
+        cr_expect(got[i].endpoint == sent.slowdowns[i].endpoint);
+        cr_expect(got[i].age == sent.slowdowns[i].age);
+        cr_expect_float_eq(got[i].slowdown, sent.slowdowns[i].slowdown, 1e-9);
+    }
+    // What is out of range is sent as the limit.
+    sent.slowdowns = {{core::endpoint_id::of("e"), milliseconds(0), 1e9}};
+    cr_expect_float_eq(back_and_forth(sent).slowdowns.at(0).slowdown, 100,
+                       1e-9);
+}
+
+// Guards against news of endpoints that fills the links of a large fleet.
+Test(exchange_codec, a_slowdown_takes_seven_bytes)
+{
+    using std::chrono::milliseconds;
+    core::direct::exchange_report sent;
+    const std::size_t empty = wire::encode_report(sent, "key").size();
+    for (int i = 0; i < 100; ++i)
+        sent.slowdowns.push_back(
+            {core::endpoint_id::of(std::to_string(i)), milliseconds(400), 2.5});
+    cr_expect_leq(wire::encode_report(sent, "key").size() - empty,
+                  100 * 7 + 16U);
+}
+
 // Guards against news of streams that fills the links of a large fleet.
 Test(exchange_codec, a_stream_takes_eight_bytes_beside_its_release)
 {
