Weighted homes are not joined: fewer callers are served in time

The placement cost already prefers fast engines among the homes, so weights crowd them. The rank function and its test stay; reverting this commit joins them.

--- a/packages/core/include/sycamorelock/core/direct/mechanism.hpp
+++ b/packages/core/include/sycamorelock/core/direct/mechanism.hpp
@@ -54,8 +54,6 @@
     reported_slowdown,
     /// Slowdowns that endpoints report are passed on to the other instances.
     slowdown_news,
-    /// Fast engines are homes of more prompt prefixes than slow ones.
-    weighted_homes,
 };
 
 /// Name of a mechanism in settings.
@@ -80,7 +78,6 @@
     mechanism_name{mechanism::reading_progress, "reading_progress"},
     mechanism_name{mechanism::reported_slowdown, "reported_slowdown"},
     mechanism_name{mechanism::slowdown_news, "slowdown_news"},
-    mechanism_name{mechanism::weighted_homes, "weighted_homes"},
 };
 
 /// Returns the mechanism with this name, or nullopt if there is none.
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -71,21 +71,7 @@
         request.parts.size() < 2 || !uses(mechanism::prompt_homes))
         return result;
     const std::uint64_t key = shared_key(request.parts);
-    const std::size_t homes = prompt_homes_.count(now, key);
-    if (uses(mechanism::weighted_homes) && reports_slowdown(service_info.id))
-    {
-        // An engine that has not reported yet counts as one of usual speed:
-        // homes must not all move whenever an engine starts.
-        const auto rank = [this, now, key](const endpoint_state* state)
-        {
-            const auto known = slowdowns_.belief(now, state->id);
-            return weighted_rank_of(key, state->id,
-                                    known ? home_weight(known->lasting) : 1);
-        };
-        keep_highest(result, homes, rank);
-        return result;
-    }
-    keep_highest_ranked(key, result, homes,
+    keep_highest_ranked(key, result, prompt_homes_.count(now, key),
                         [](const endpoint_state* state) { return state->id; });
     return result;
 }
--- a/packages/core/unittests/uneven_engines_test.cpp
+++ b/packages/core/unittests/uneven_engines_test.cpp
@@ -45,7 +45,6 @@
 {
     plan.mechanisms.switch_off(mechanism::reported_slowdown);
     plan.mechanisms.switch_off(mechanism::slowdown_news);
-    plan.mechanisms.switch_off(mechanism::weighted_homes);
     return plan;
 }
 
