--- a/packages/core/include/sycamorelock/core/direct/mechanism.hpp
+++ b/packages/core/include/sycamorelock/core/direct/mechanism.hpp
@@ -63,6 +63,10 @@
     /// Where endpoints report the slowdown of their machines, refused callers
     /// are told to return when there is room, and go first when they do.
     promised_returns,
+    /// Predicted times use the slowdown that endpoints report of themselves.
+    reported_slowdown,
+    /// Slowdowns that endpoints report are passed on to the other instances.
+    slowdown_news,
 };
 
 /// Name of a mechanism in settings.
@@ -89,6 +93,8 @@
     mechanism_name{mechanism::domain_homes, "domain_homes"},
     mechanism_name{mechanism::objective_admission, "objective_admission"},
     mechanism_name{mechanism::promised_returns, "promised_returns"},
+    mechanism_name{mechanism::reported_slowdown, "reported_slowdown"},
+    mechanism_name{mechanism::slowdown_news, "slowdown_news"},
 };
 
 /// Returns the mechanism with this name, or nullopt if there is none.
