--- a/packages/core/include/sycamorelock/core/direct/mechanism.hpp
+++ b/packages/core/include/sycamorelock/core/direct/mechanism.hpp
@@ -57,11 +57,12 @@
     /// prefilled by engines of the own failure domain, if that is expected to
     /// save more traffic than it costs.
     domain_homes,
-    /// Where endpoints report the slowdown of their machines, the longest wait
-    /// of a request depends on its own objective, size and urgency.
+    /// Where the first tokens of single requests can be predicted, the longest
+    /// wait of a request depends on its own objective, size and urgency.
     objective_admission,
-    /// Where endpoints report the slowdown of their machines, refused callers
-    /// are told to return when there is room, and go first when they do.
+    /// Where the first tokens of single requests can be predicted, refused
+    /// callers are told to return when there is room, and go first when they
+    /// do.
     promised_returns,
     /// Predicted times use the slowdown that endpoints report of themselves.
     reported_slowdown,
--- a/packages/settings/lib/schema.cpp
+++ b/packages/settings/lib/schema.cpp
@@ -106,7 +106,8 @@
           "Longest delay accepted to keep a kilobyte of requests and answers "
           "within the failure domain, in milliseconds; 0: traffic between "
           "failure domains has no price. Applies to services whose endpoints "
-          "report the slowdown of their machines."},
+          "report the slowdown of their machines, or whose engines move 10,000 "
+          "cached tokens within 10 ms."},
     field{"linger_ms", integer, false, 0, 600000, "3000", "",
           "Time after SIGTERM in which new connections are still served, in "
           "milliseconds."},
