Observed slowdowns count in full after long waits, too

The lower weight of first tokens after long predicted waits, at endpoints that report a slowdown, kept the residual from learning that all engines are slower than predicted under excess.

--- a/packages/core/include/sycamorelock/core/direct/endpoint_health.hpp
+++ b/packages/core/include/sycamorelock/core/direct/endpoint_health.hpp
@@ -14,10 +14,8 @@
 {
   public:
     /// Records the observed and the predicted time to the first token.
-    /// \param weight at most 1; less if the prediction may be wrong for other
-    /// reasons than the endpoint.
     void record_first_token(time_point now, double actual_ms,
-                            double predicted_ms, double weight = 1);
+                            double predicted_ms);
     /// Records a request that succeeded.
     void succeeded(time_point now);
     /// Records a failure of a request that the endpoint may have executed.
--- a/packages/core/lib/direct/endpoint_health.cpp
+++ b/packages/core/lib/direct/endpoint_health.cpp
@@ -40,7 +40,7 @@
 } // namespace
 
 void endpoint_health::record_first_token(time_point now, double actual_ms,
-                                         double predicted_ms, double weight)
+                                         double predicted_ms)
 {
     const double ratio = std::clamp((actual_ms + latency_allowance_ms) /
                                         (predicted_ms + latency_allowance_ms),
@@ -48,7 +48,7 @@
     const double before = log_slowdown_ * decay_factor(slowdown_at_, now);
     // The prediction already includes the current slowdown factor, so the ratio
     // is a correction of it.
-    log_slowdown_ = before + weight * slowdown_weight * std::log(ratio);
+    log_slowdown_ = before + slowdown_weight * std::log(ratio);
     log_slowdown_ = std::clamp(log_slowdown_, -std::log(max_slowdown),
                                std::log(max_slowdown));
     slowdown_at_ = now;
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -34,10 +34,6 @@
 /// Default mean processing time, in ms, of a request to a plain service, used
 /// to predict the wait for a slot.
 constexpr double default_plain_work_ms = 30;
-/// A predicted wait of this length, in ms, halves the weight of an observed
-/// first token in the slowdown of an endpoint that reports its own: wrong
-/// waits are no property of the endpoint.
-constexpr double half_weight_wait_ms = 50;
 /// Maximum number of prompt parts in a copy of the KV cache estimates. A part
 /// takes 12 bytes, which limits the copy to about 250 KB.
 constexpr std::size_t max_copied_parts = 20000;
@@ -474,10 +470,7 @@
     const double change = slowdown_change(now, placement);
     if (found != endpoints_.end())
         found->second.health.record_first_token(
-            now, observed_first_token_ms, placement.predicted_ms * change,
-            placement.reported ? half_weight_wait_ms /
-                                     (half_weight_wait_ms + placement.wait_ms)
-                               : 1);
+            now, observed_first_token_ms, placement.predicted_ms * change);
     if (predicts_single_requests(placement.endpoint.service))
         prediction_errors_[placement.endpoint.service].observe(
             observed_first_token_ms, placement.predicted_ms);
