--- a/packages/core/include/sycamorelock/core/direct/catalogue.hpp
+++ b/packages/core/include/sycamorelock/core/direct/catalogue.hpp
@@ -98,14 +98,14 @@
     {
         return tokens * token_bytes / link_bytes_per_ms;
     }
-    /// Returns whether a long prefix moves between engines within about one of
-    /// their steps. Any engine with room can then serve a prompt at once,
-    /// wherever its prefix is cached.
+    /// Returns whether a long prefix moves between engines in a time that no
+    /// caller notices, a hundredth of an objective of a second. Any engine with
+    /// room can then serve a prompt in time, wherever its prefix is cached.
     [[nodiscard]] bool moves_prefixes_quickly() const
     {
         static constexpr double long_prefix_tokens = 10'000;
-        static constexpr double engine_step_ms = 10;
-        return can_fetch() && transfer_ms(long_prefix_tokens) <= engine_step_ms;
+        static constexpr double unnoticed_ms = 10;
+        return can_fetch() && transfer_ms(long_prefix_tokens) <= unnoticed_ms;
     }
 };
 
--- a/packages/core/include/sycamorelock/core/direct/endpoint_load.hpp
+++ b/packages/core/include/sycamorelock/core/direct/endpoint_load.hpp
@@ -14,8 +14,9 @@
     /// Requests that wait at the endpoint for a slot.
     unsigned waiting = 0;
     unsigned slots = 0;
-    /// Time that work takes on the endpoint's machine at present, relative to
-    /// the usual time there; empty if the endpoint does not report it.
+    /// Time that work takes at the endpoint at present, relative to the usual
+    /// time of its service: what its machine is, and what disturbs it. Empty if
+    /// the endpoint does not report it.
     std::optional<double> slowdown;
 };
 
--- a/packages/core/include/sycamorelock/core/direct/placement_cost.hpp
+++ b/packages/core/include/sycamorelock/core/direct/placement_cost.hpp
@@ -21,7 +21,6 @@
     double remote_domain = 0;
     /// Makes all instances prefer the same of otherwise equal endpoints.
     double tie_break = 0;
-
     /// Price of traffic that a new copy of the prompt's shared prefix in the
     /// own failure domain is expected to save.
     double saved_traffic = 0;
--- a/packages/core/include/sycamorelock/core/direct/prompt_homes.hpp
+++ b/packages/core/include/sycamorelock/core/direct/prompt_homes.hpp
@@ -27,15 +27,6 @@
 /// highest ranks are the homes of the key.
 double rank_of(std::uint64_t key, endpoint_id engine);
 
-/// Rank for weighted rendezvous hashing: an engine of twice the weight is a
-/// home of twice as many keys. Another weight of one engine moves only keys
-/// from it or to it. Engines of equal weights are ordered as by `rank_of`.
-double weighted_rank_of(std::uint64_t key, endpoint_id engine, double weight);
-
-/// Weight of an engine with this lasting slowdown, in coarse steps, so that
-/// small changes move no homes.
-double home_weight(double slowdown);
-
 /// Number of home engines of each shared prefix, from the load of the requests
 /// that contain it.
 ///
@@ -75,11 +66,12 @@
     time_point swept_at_;
 };
 
-/// Reduces `engines` to the `count` engines with the highest ranks, highest
-/// first. Leaves `engines` as it is if it has no more than `count`.
-/// \param rank function that returns the rank of an engine for the key.
-template <class Engine, class Rank>
-void keep_highest(std::vector<Engine>& engines, std::size_t count, Rank rank)
+/// Reduces `engines` to the `count` engines with the highest ranks for a key,
+/// highest first. Leaves `engines` as it is if it has no more than `count`.
+/// \param id_of function that returns the id of an engine.
+template <class Engine, class Id>
+void keep_highest_ranked(std::uint64_t key, std::vector<Engine>& engines,
+                         std::size_t count, Id id_of)
 {
     if (engines.size() <= count)
         return;
@@ -87,7 +79,7 @@
     std::vector<ranked> order;
     order.reserve(engines.size());
     for (const Engine& engine : engines)
-        order.push_back({rank(engine), engine});
+        order.push_back({rank_of(key, id_of(engine)), engine});
     const auto end = order.begin() + static_cast<std::ptrdiff_t>(count);
     std::partial_sort(order.begin(), end, order.end(),
                       [](const ranked& a, const ranked& b)
@@ -97,15 +89,4 @@
         engines.push_back(kept->second);
 }
 
-/// Same, with ranks by `rank_of`.
-/// \param id_of function that returns the id of an engine.
-template <class Engine, class Id>
-void keep_highest_ranked(std::uint64_t key, std::vector<Engine>& engines,
-                         std::size_t count, Id id_of)
-{
-    keep_highest(engines, count,
-                 [key, id_of](const Engine& engine)
-                 { return rank_of(key, id_of(engine)); });
-}
-
 } // namespace sycamorelock::core::direct
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -23,7 +23,7 @@
 #include "sycamorelock/core/direct/prompt_fetch.hpp"
 #include "sycamorelock/core/direct/prompt_homes.hpp"
 #include "sycamorelock/core/direct/rate_meter.hpp"
-#include "sycamorelock/core/direct/return_schedule.hpp"
+#include "sycamorelock/core/direct/return_promises.hpp"
 #include "sycamorelock/core/direct/slow_start.hpp"
 #include "sycamorelock/core/direct/slowdown_tracker.hpp"
 #include "sycamorelock/core/direct/stream_releases.hpp"
@@ -315,7 +315,7 @@
     /// well enough to decide by it: endpoints of the service report their
     /// slowdown, or prefixes move between its engines quickly, so that it
     /// hardly matters whether the news of their caches is old.
-    [[nodiscard]] bool predicts_single_requests(service_id service) const;
+    [[nodiscard]] bool predicts_single_requests(service_id id) const;
     /// Records the size of a complete answer to a request.
     void note_answer(const request_profile& request, double bytes)
     {
@@ -716,6 +716,9 @@
     void schedule_return(time_point now, const request_profile& request,
                          service_id service, refusal_decision& refused,
                          double service_ms);
+    /// Factor by which observed times to the first token exceed predicted ones
+    /// at a service.
+    [[nodiscard]] double error_factor(service_id service) const;
     /// Recognises a caller that returns as it was told.
     void recognise_return(time_point now, request_profile& request);
     /// Whether refused callers of the service are promised room.
@@ -775,15 +778,7 @@
     std::map<service_id, hold_time> plain_work_;
     std::map<service_id, admission_rates> admissions_;
     std::map<service_id, prediction_error> prediction_errors_;
-    /// Promised returns of accounts within their share, by service, and of
-    /// each account beyond its share, out of its own part.
-    std::map<service_id, return_schedule> returns_;
-    std::map<account_id, return_schedule> returns_beyond_share_;
-    /// Tokens per second that this instance sends to each service.
-    std::map<service_id, rate_meter> sent_tokens_;
-    /// Longest time budget of requests by the name of their route: that of
-    /// callers that try for the first time.
-    std::map<std::string, duration> first_budgets_;
+    return_promises return_promises_;
     account_shares account_shares_;
     std::map<service_id, retry_budget> budgets_;
     std::vector<cache_note> unsent_cache_notes_;
--- a/packages/core/lib/direct/prompt_homes.cpp
+++ b/packages/core/lib/direct/prompt_homes.cpp
@@ -3,8 +3,6 @@
 // each candidate (docs/CAPACITY.md), and each decision ranks every engine.
 #include "sycamorelock/core/direct/prompt_homes.hpp"
 
-#include <cmath>
-
 namespace sycamorelock::core::direct
 {
 
@@ -53,18 +51,6 @@
     return static_cast<double>(mixed >> 32U) * to_unit_interval;
 }
 
-double weighted_rank_of(std::uint64_t key, endpoint_id engine, double weight)
-{
-    const double rank = rank_of(key, engine);
-    return rank <= 0 ? 0 : -weight / std::log(rank);
-}
-
-double home_weight(double slowdown)
-{
-    static constexpr double step = 1.25;
-    return std::pow(step, -std::round(std::log(slowdown) / std::log(step)));
-}
-
 void prompt_homes::note(time_point now, std::uint64_t key,
                         double prefill_time_ms)
 {
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -138,9 +138,7 @@
                                [&name](const route& each)
                                { return each.name == name; });
         });
-    first_budgets_.clear();
-    std::erase_if(returns_beyond_share_, [this](const auto& entry)
-                  { return !config_->accounts.contains(entry.first); });
+    return_promises_.install(*config_);
     update_default_estimates();
     for (auto& [id, state] : endpoints_)
         update_warmup_limit(state);
@@ -217,11 +215,11 @@
         slowdowns_.note_load(now, endpoint, load);
 }
 
-bool router::predicts_single_requests(service_id service) const
+bool router::predicts_single_requests(service_id id) const
 {
-    const struct service* const found = find_service(service);
+    const service* const found = find_service(id);
     return (found != nullptr && found->moves_prefixes_quickly()) ||
-           reports_slowdown(service);
+           reports_slowdown(id);
 }
 
 void router::on_slowdowns(time_point now, std::span<const slowdown_note> notes)
@@ -355,20 +353,15 @@
 
 void router::recognise_return(time_point now, request_profile& request)
 {
-    // Less is no pause that a caller was told.
-    static constexpr duration min_pause = std::chrono::milliseconds(80);
-    const duration budget = request.deadline - request.arrived;
-    duration& longest = first_budgets_[request.route_config->name];
-    longest = std::max(longest, budget);
-    const duration elapsed = longest - budget;
-    if (elapsed < min_pause || request.route_config->targets.empty() ||
-        !promises_returns(request.route_config->targets.front().service))
+    const route& asked = *request.route_config;
+    const duration elapsed = return_promises_.since_first_attempt(
+        asked.name, request.deadline - request.arrived);
+    if (asked.targets.empty() ||
+        !promises_returns(asked.targets.front().service))
         return;
     request.since_first_attempt = elapsed;
-    // Room is promised only within the objective.
-    request.is_return =
-        elapsed <= request.route_config->objective &&
-        account_shares_.redeem_promise(now, *request.account, elapsed);
+    request.is_return = return_promises::redeem(
+        now, account_shares_, *request.account, asked.objective, elapsed);
 }
 
 unsigned router::urgency_of(const request_profile& request) const
@@ -440,7 +433,7 @@
     if (service_info == nullptr || !service_info->is_engine() ||
         request.parts.empty())
         return;
-    sent_tokens_[service_info->id].add(now, request.share_tokens());
+    return_promises_.record_sent(now, service_info->id, request.share_tokens());
     if (placement.fetch)
         fetch_links_.record_transfer(now, *placement.fetch,
                                      placement.request_load.endpoint);
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -50,13 +50,6 @@
 constexpr duration max_demand_forecast = std::chrono::seconds(30);
 /// Requests that may wait at a plain endpoint, as a multiple of its slots.
 constexpr double max_plain_backlog = 3.0;
-/// Part of the work that an instance sends that returns may be promised. The
-/// remainder is for new requests.
-constexpr double promised_part = 0.3;
-/// New requests leave room for the returns that are due before they would be
-/// served.
-constexpr duration promised_window = std::chrono::milliseconds(200);
-constexpr milliseconds min_return_pause{100};
 
 } // namespace
 
@@ -420,17 +413,10 @@
         query.objective_ms -=
             to_ms(now - request.arrived + request.since_first_attempt);
         query.is_return = request.is_return;
-        const auto sent = sent_tokens_.find(service_info.id);
-        const double rate =
-            sent == sent_tokens_.end() ? 0 : sent->second.rate_at(now);
-        const auto promised = returns_.find(service_info.id);
-        if (promised != returns_.end() && rate > 0)
-            query.promised_ms =
-                promised->second.promised(now, promised_window) / rate * 1000;
+        query.promised_ms =
+            return_promises_.promised_wait_ms(now, service_info.id);
         query.service_ms = service_ms;
-        const auto known = prediction_errors_.find(service_info.id);
-        if (known != prediction_errors_.end())
-            query.error_factor = known->second.factor();
+        query.error_factor = error_factor(service_info.id);
         return objective_admission(options_.mechanisms).max_wait_ms(query);
     }
     return uniform_admission(options_.mechanisms).max_wait_ms(query);
@@ -463,52 +449,33 @@
     return result;
 }
 
+double router::error_factor(service_id service) const
+{
+    const auto known = prediction_errors_.find(service);
+    return known == prediction_errors_.end() ? 1 : known->second.factor();
+}
+
 void router::schedule_return(time_point now, const request_profile& request,
                              service_id service, refusal_decision& refused,
                              double service_ms)
 {
-    const auto to_duration = [](double ms)
-    { return duration(static_cast<duration::rep>(ms * 1000)); };
-    const bool is_beyond = refused.reason == refusal::beyond_share;
-    return_query query;
-    query.earliest = std::max<duration>(
-        min_return_pause,
-        to_duration(refused.wait_ms - std::max(0.0, refused.allowed_ms)));
-    const duration longest = (request.deadline - now) / budget_divisor;
-    // Room for a return that would be late is better used by a new request.
-    const auto error = prediction_errors_.find(service);
-    const double factor =
-        error == prediction_errors_.end() ? 1 : error->second.factor();
-    const duration in_objective =
-        to_duration(to_ms(request.route_config->objective) / factor -
-                    service_ms - std::max(0.0, refused.allowed_ms));
-    query.in_budget = std::min(longest, in_objective);
-    query.tokens = request.share_tokens();
-    const double sent = is_beyond && request.account
-                            ? account_shares_.own_served(now, *request.account)
-                            : sent_tokens_[service].rate_at(now);
-    query.tokens_per_second = sent * promised_part;
-    std::optional<duration> place;
-    // A promise that no account holds could not be recognised.
-    if (request.account && !request.is_return)
-    {
-        return_schedule& places = is_beyond
-                                      ? returns_beyond_share_[*request.account]
-                                      : returns_[service];
-        place = places.reserve(now, query);
-    }
-    if (place)
-        account_shares_.record_promise(now, *request.account);
-    refused.is_promised = place.has_value();
-    // Callers without a promise return after the objective, spread over the
-    // time for which they wait at most.
-    const double longest_ms = std::max(to_ms(min_return_pause), to_ms(longest));
-    std::uniform_real_distribution<double> spread(
-        std::min(longest_ms, to_ms(request.route_config->objective)),
-        longest_ms);
+    refused_attempt attempt;
+    attempt.service = service;
+    attempt.account = request.account;
+    attempt.tokens = request.share_tokens();
+    attempt.objective = request.route_config->objective;
+    attempt.time_left = request.deadline - now;
+    attempt.wait_ms = refused.wait_ms;
+    attempt.allowed_ms = refused.allowed_ms;
+    attempt.service_ms = service_ms;
+    attempt.error_factor = error_factor(service);
+    attempt.is_beyond_share = refused.reason == refusal::beyond_share;
+    attempt.is_return = request.is_return;
+    const return_advice advice =
+        return_promises_.advise(now, attempt, account_shares_, random_);
     refused.retry_after =
-        place ? std::chrono::duration_cast<milliseconds>(*place)
-              : milliseconds(static_cast<milliseconds::rep>(spread(random_)));
+        std::chrono::duration_cast<milliseconds>(advice.pause);
+    refused.is_promised = advice.is_promised;
 }
 
 std::vector<const router::endpoint_state*>
--- a/packages/core/unittests/direct_domains_test.cpp
+++ b/packages/core/unittests/direct_domains_test.cpp
@@ -25,6 +25,8 @@
         bool reports_slowdown = true;
         unsigned engines_at_home = 15;
         unsigned engines_away = 45;
+        /// KV cache size of a token; engines cannot fetch if it is 0.
+        double token_bytes = 0;
         mechanism_set mechanisms;
     };
 
@@ -38,6 +40,8 @@
         service engine_service;
         engine_service.id = drafts;
         engine_service.kv_capacity_tokens = 600000;
+        engine_service.token_bytes = use.token_bytes;
+        engine_service.link_bytes_per_ms = 50e6;
         config->services[drafts] = engine_service;
         route stream_route;
         stream_route.name = "draft";
@@ -151,7 +155,7 @@
 
 // Load: idle engines, and a different short prompt in each request. Three of
 // four engines are in the other failure domain.
-Test(direct_domains, earlier_deployments_decide_as_before)
+Test(direct_domains, a_price_counts_only_where_it_is_called_for)
 {
     two_domains::setup unpriced;
     unpriced.ms_per_kb = 0;
@@ -165,6 +169,34 @@
     cr_expect_eq(two_domains(switched_off).leave_of(100), left);
 }
 
+// Load: the same, at engines that report no slowdown.
+Test(direct_domains, a_price_counts_where_prefixes_move_quickly)
+{
+    two_domains::setup quick;
+    quick.reports_slowdown = false;
+    // 10,000 tokens take 8 ms.
+    quick.token_bytes = 40000;
+    cr_expect_eq(two_domains(quick).leave_of(100), 0U);
+    // 12 ms.
+    two_domains::setup slow = quick;
+    slow.token_bytes = 60000;
+    two_domains::setup unpriced = slow;
+    unpriced.ms_per_kb = 0;
+    cr_expect_eq(two_domains(slow).leave_of(100),
+                 two_domains(unpriced).leave_of(100));
+}
+
+Test(direct_domains, prefixes_move_quickly_if_no_caller_notices)
+{
+    service engines;
+    cr_expect_not(engines.moves_prefixes_quickly());
+    engines.token_bytes = 50000;
+    engines.link_bytes_per_ms = 50e6;
+    cr_expect(engines.moves_prefixes_quickly());
+    engines.token_bytes = 50001;
+    cr_expect_not(engines.moves_prefixes_quickly());
+}
+
 // Load: idle engines, and requests whose prompts are not described.
 Test(direct_domains, requests_stay_if_engines_at_home_are_idle)
 {
--- a/packages/core/unittests/direct_leaving_test.cpp
+++ b/packages/core/unittests/direct_leaving_test.cpp
@@ -77,11 +77,13 @@
 
 } // namespace
 
+// Load: the usual one, with about the same demand in each domain.
 Test(direct_leaving, even_load_stays_at_home)
 {
     expect_halved_traffic(four_domains_config(), usual_load);
 }
 
+// Load: the same with fresher news.
 Test(direct_leaving, news_of_50_ms)
 {
     simulation_config plan = four_domains_config();
@@ -89,6 +91,7 @@
     expect_halved_traffic(plan, usual_load);
 }
 
+// Load: the same with older news.
 Test(direct_leaving, news_of_400_ms)
 {
     simulation_config plan = four_domains_config();
@@ -96,6 +99,7 @@
     expect_halved_traffic(plan, usual_load);
 }
 
+// Load: the same over few instances.
 Test(direct_leaving, eight_routers)
 {
     simulation_config plan = four_domains_config();
@@ -103,6 +107,7 @@
     expect_halved_traffic(plan, usual_load);
 }
 
+// Load: the same over many instances, each of which sees few requests.
 Test(direct_leaving, eighty_three_routers)
 {
     simulation_config plan = four_domains_config();
@@ -131,9 +136,6 @@
     world.reset_results();
     world.run(8);
     const double after = share_away(world.counts_of_domain(0));
-    cr_log_warn("away: %.2f before, %.2f during, %.2f after; %u of %u refused",
-                usual, share_away(helped), after, helped.requests.refused,
-                helped.requests.offered_requests);
     cr_expect_gt(share_away(helped), usual);
     // Half of the domain's requests have no room at home.
     cr_expect_lt(helped.requests.refused * 4, helped.requests.offered_requests,
@@ -152,12 +154,14 @@
                                                 world.set_domain_factor(0, 2);
                                                 world.run(10);
                                             });
-    cr_log_warn("twice: %.2f KB of %.2f", kilobytes_per_served(priced),
-                kilobytes_per_served(unpriced));
-    cr_expect_lt(kilobytes_per_served(priced), kilobytes_per_served(unpriced));
+    cr_expect_lt(kilobytes_per_served(priced), kilobytes_per_served(unpriced),
+                 "%.2f KB of %.2f", kilobytes_per_served(priced),
+                 kilobytes_per_served(unpriced));
     cr_expect_geq(priced.requests.on_time, unpriced.requests.on_time);
 }
 
+// Load: two domains ask for 1.3 times their part while two ask for 0.7, and the
+// other way round, every 3 s.
 Test(direct_leaving, opposed_waves)
 {
     expect_halved_traffic(four_domains_config(),
@@ -175,6 +179,7 @@
                           });
 }
 
+// Load: the usual one, while the engines of one domain take 1.7 times as long.
 Test(direct_leaving, one_domain_with_slow_engines)
 {
     expect_halved_traffic(four_domains_config(),
@@ -187,6 +192,7 @@
                           });
 }
 
+// Load: the usual one, while one domain is drained and taken back.
 Test(direct_leaving, a_drained_domain_sends_all_requests_away)
 {
     fleet_simulation world(four_domains_config());
--- a/packages/core/unittests/direct_room_test.cpp
+++ b/packages/core/unittests/direct_room_test.cpp
@@ -76,9 +76,8 @@
 
 } // namespace
 
-// Engines are asked for twice what they can do, and accounts have no shares.
-// With one limit for all requests, 1,517 are on time and 128 late; with limits
-// by objective 1,878 and 31.
+// Load: engines are asked for twice what they can do, and accounts have no
+// shares.
 Test(direct_room, twice_the_load_that_engines_can_serve)
 {
     simulation_config plan = competing_config();
@@ -96,8 +95,8 @@
                  with.total.late, without.total.late);
 }
 
-// Accounts ask for three times the configured throughput, and engines can do
-// more than that.
+// Load: accounts ask for three times the configured throughput, and engines can
+// do more than that.
 Test(direct_room, accounts_beyond_their_share_use_idle_engines)
 {
     simulation_config plan = competing_config();
@@ -112,8 +111,8 @@
                  with.small_accounts.offered_requests);
 }
 
-// Endpoints of earlier deployments do not report the slowdown of their
-// machines.
+// Load: twice what engines can do, at engines that report no slowdown and do
+// not move prefixes.
 Test(direct_room, a_service_without_reports_of_slowdown_is_served_as_before)
 {
     simulation_config plan = competing_config();
@@ -220,7 +219,8 @@
 
 } // namespace
 
-// Accounts ask for three times the configured throughput.
+// Load: accounts ask for three times the configured throughput, and all refused
+// callers return once when they are told.
 Test(direct_room, callers_that_return_as_promised_are_served)
 {
     fleet_simulation world(returning_config());
@@ -231,6 +231,7 @@
                   world.returns().promised_served, world.returns().promised);
 }
 
+// Load: the same, with news that is 400 ms old.
 Test(direct_room, promises_hold_while_reports_are_late)
 {
     simulation_config plan = returning_config();
@@ -242,6 +243,7 @@
                   world.returns().promised_served, world.returns().promised);
 }
 
+// Load: the same, and half of the instances restart one after the other.
 Test(direct_room, promises_hold_after_the_instance_that_made_them_is_lost)
 {
     fleet_simulation world(returning_config());
@@ -256,6 +258,8 @@
                   world.returns().promised_served, world.returns().promised);
 }
 
+// Load: the same, and all instances restart at once. What was promised before
+// is lost with them, so that returns count from 2 s later on.
 Test(direct_room, promises_hold_again_after_all_instances_have_restarted)
 {
     fleet_simulation world(returning_config());
@@ -269,6 +273,24 @@
                   world.returns().promised_served, world.returns().promised);
 }
 
+// Load: the same, but callers return at once and state the time that they would
+// have left if they had waited. They take room from those that do wait.
+Test(direct_room, callers_that_do_not_wait_gain_nothing)
+{
+    const auto on_time = [](caller_behaviour behaviour)
+    {
+        simulation_config plan = competing_config();
+        plan.after_refusal = behaviour;
+        fleet_simulation world(plan);
+        start_excess(world);
+        world.run(8);
+        return world.total_counts().on_time;
+    };
+    const unsigned early = on_time(caller_behaviour::returns_early);
+    const unsigned told = on_time(caller_behaviour::returns_as_told);
+    cr_expect_leq(early, told, "%u on time, %u if they wait", early, told);
+}
+
 Test(direct_room, promised_work_is_spread_over_the_room_that_will_be_there)
 {
     static constexpr core::time_point now{std::chrono::seconds(1000)};
@@ -315,8 +337,8 @@
                                        core::account_id::of("south"), pause));
 }
 
-// Endpoints of earlier deployments do not report the slowdown of their
-// machines.
+// Load: twice what engines can do, at engines that report no slowdown and do
+// not move prefixes.
 Test(direct_room, a_service_without_reports_of_slowdown_promises_nothing)
 {
     simulation_config plan = returning_config();
--- a/packages/core/unittests/slowdown_tracker_test.cpp
+++ b/packages/core/unittests/slowdown_tracker_test.cpp
@@ -175,38 +175,3 @@
     cr_expect_not(fixture.tested_router.reports_slowdown(drafts));
     cr_expect_eq(fixture.tested_router.slowdowns().size(), 0U);
 }
-
-// Three kinds of engines, one of them 2.4 times as slow as the others.
-Test(weighted_homes, an_engine_is_home_of_prompts_by_its_speed)
-{
-    constexpr unsigned keys = 20000;
-    const std::vector<double> slowdowns{0.7, 0.7, 1.7};
-    std::vector<unsigned> homes(slowdowns.size(), 0);
-    unsigned moved = 0;
-    for (std::uint64_t key = 1; key <= keys; ++key)
-    {
-        const auto home = [&](double last)
-        {
-            std::vector<std::size_t> engines{0, 1, 2};
-            keep_highest(engines, 1,
-                         [&](std::size_t i)
-                         {
-                             return weighted_rank_of(
-                                 key * 0x9e3779b97f4a7c15ULL,
-                                 endpoint_id::of(std::to_string(i)),
-                                 home_weight(i == 2 ? last : slowdowns[i]));
-                         });
-            return engines.front();
-        };
-        ++homes[home(1.7)];
-        // Only keys of the engine whose weight falls may move.
-        const std::size_t before = home(0.7);
-        moved += before != 2 && before != home(1.7) ? 1 : 0;
-        cr_expect_eq(home(1.7), home(1.72));
-    }
-    const double ratio = homes[0] / static_cast<double>(homes[2]);
-    // The steps of the weights allow a deviation of an eighth at each engine.
-    cr_expect(ratio > 1.7 / 0.7 / 1.3 && ratio < 1.7 / 0.7 * 1.3, "%.2f",
-              ratio);
-    cr_expect_eq(moved, 0U);
-}
--- a/packages/core/unittests/uneven_engines_test.cpp
+++ b/packages/core/unittests/uneven_engines_test.cpp
@@ -116,7 +116,7 @@
     const outcome lies = play(mesh_config(), lie);
     const outcome without = play(without_reports(mesh_config()));
     cr_expect_geq(lies.on_time, without.on_time);
-    cr_expect_leq(lies.sent_slow, without.sent_fast);
+    cr_expect_lt(lies.sent_slow, lies.sent_fast);
     cr_expect_geq(truth.on_time, lies.on_time);
 }
 
--- a/packages/wire/unittests/slowdown_news_test.cpp
+++ b/packages/wire/unittests/slowdown_news_test.cpp
@@ -47,7 +47,7 @@
   public:
     fleet(std::size_t instances, std::size_t domains, std::size_t engines)
         : domains_(domains), all_(instances), slowdown_(engines, 1),
-          is_disturbed_(engines), answered_(engines)
+          answered_(engines)
     {
     }
 
@@ -85,9 +85,8 @@
             sum += static_cast<double>(all_[i].bytes_in);
         return sum / static_cast<double>(all_.size() - first_member());
     }
-    /// Beliefs that differ from the disturbance that an engine reported a
-    /// quarter of a second ago or earlier. The end of a disturbance may be
-    /// noticed later: one that is over is believed for 600 ms at most.
+    /// Beliefs that differ from what an engine reported a quarter of a second
+    /// ago or earlier, whether it is disturbed or no longer.
     [[nodiscard]] unsigned wrong_beliefs() const
     {
         unsigned wrong = 0;
@@ -95,8 +94,7 @@
         {
             for (std::size_t i = 0; i < slowdown_.size(); ++i)
             {
-                if (!is_disturbed_[i] || !answered_[i] ||
-                    now_ - *answered_[i] < milliseconds(250))
+                if (!answered_[i] || now_ - *answered_[i] < milliseconds(250))
                     continue;
                 const auto known = each.tracker.belief(now_, id_of(i));
                 wrong += known && known->present == slowdown_[i] ? 0 : 1;
@@ -125,9 +123,8 @@
         std::bernoulli_distribution is_disturbed(0.15);
         for (std::size_t i = 0; i < slowdown_.size(); ++i)
         {
-            is_disturbed_[i] = is_disturbed(random_);
             slowdown_[i] =
-                (i % 3 == 2 ? 1.75 : 0.75) * (is_disturbed_[i] ? 2 : 1);
+                (i % 3 == 2 ? 1.75 : 0.75) * (is_disturbed(random_) ? 2 : 1);
         }
     }
     void answer()
@@ -193,7 +190,6 @@
     std::size_t domains_;
     std::vector<instance> all_;
     std::vector<double> slowdown_;
-    std::vector<bool> is_disturbed_;
     /// First answer with the present slowdown.
     std::vector<std::optional<time_point>> answered_;
     std::mt19937_64 random_{1};
@@ -226,6 +222,8 @@
 
 } // namespace
 
+// A tenth of what an instance may send and receive for control, 4 KB a second,
+// in fleets as large as today's.
 Test(slowdown_news, eight_instances)
 {
     expect_few_bytes(8, 1, 18);
@@ -240,13 +238,13 @@
 }
 Test(slowdown_news, hundred_ninety_five_instances)
 {
-    expect_few_bytes(195, 5, 90);
+    expect_few_bytes(195, 5, 117);
 }
 
-Test(slowdown_news, all_instances_know_of_a_disturbance_in_a_quarter_second)
+Test(slowdown_news, all_instances_know_of_a_change_in_a_quarter_second)
 {
     expect_news_in_time(8, 1, 18);
     expect_news_in_time(83, 4, 60);
     expect_news_in_time(59, 3, 90);
-    expect_news_in_time(195, 5, 90);
+    expect_news_in_time(195, 5, 117);
 }
--- a/test/integration/endless_test.cpp
+++ b/test/integration/endless_test.cpp
@@ -123,7 +123,7 @@
 {
     for (const endless_case& each : cases())
     {
-        // Events are no matter of their services.
+        // A plain service answers without events.
         if (each.bytes.begin.starts_with(events))
             continue;
         check_direct(each, "/look/x", most_bytes, longest_wait_s);
@@ -211,9 +211,9 @@
         fleet running(usual_plan(1));
         for (const char* service : {"planner", "desk"})
         {
-            // Events are no matter of plain services.
-            const bool has_events = each.bytes.begin.starts_with(events);
-            if (has_events)
+            // A plain service answers without events.
+            if (each.bytes.begin.starts_with(events) &&
+                std::string(service) == "desk")
                 continue;
             for (const auto& bad : running.endpoints(service))
                 bad->set_endless(each.bytes);
