--- a/packages/adapters/lib/endpoint_call.cpp
+++ b/packages/adapters/lib/endpoint_call.cpp
@@ -257,6 +257,15 @@
     co_return !error;
 }
 
+error_code endpoint_call::parse_buffered()
+{
+    error_code error;
+    while (!error && buffer_.size() > 0 && !parser_->is_done() &&
+           parser_->get().body().size > 0)
+        buffer_.consume(parser_->put(buffer_.data(), error));
+    return error == http::error::need_more ? error_code() : error;
+}
+
 asio::awaitable<core::attempt_end> endpoint_call::relay()
 {
     using core::attempt_end;
@@ -274,6 +283,8 @@
         stream_->expires_after(context_.control.settings().endpoint_timeout);
         auto [error, bytes] = co_await http::async_read_some(
             *stream_, buffer_, *parser_, as_result);
+        if (!error)
+            error = parse_buffered();
         if (error && error != http::error::need_buffer)
         {
             has_broken_ = is_broken_connection(error);
--- a/packages/adapters/lib/endpoint_call.hpp
+++ b/packages/adapters/lib/endpoint_call.hpp
@@ -67,6 +67,9 @@
     asio::awaitable<core::attempt_end> relay();
     asio::awaitable<bool> write_header();
     asio::awaitable<bool> write_piece(const char* data, std::size_t size);
+    /// Parses what has been read already into the rest of the piece, so that
+    /// many small chunks are passed on together.
+    error_code parse_buffered();
     /// Tells that a part of the answer was longer than it may be.
     void note_endless(std::string_view part);
     void count_tokens(const char* data, std::size_t size);
