--- a/packages/adapters/lib/answer_limits.hpp
+++ b/packages/adapters/lib/answer_limits.hpp
@@ -1,5 +1,6 @@
-// Bounds on what is read of an answer: one that has no end is closed once more
-// has come than an answer may hold.
+// Bounds on what is read of an answer, so that one without an end takes neither
+// memory nor a caller's time until the limit of its route. They are far above
+// what sound endpoints send.
 #pragma once
 
 #include <cstddef>
@@ -16,9 +17,11 @@
 /// Headers that may come before that of the answer: informational ones and
 /// answers to earlier requests on the connection.
 inline constexpr unsigned max_leading_headers = 16;
-/// Bytes of one event, which is held until it is whole.
+/// Bytes of one event, which is held until it is whole. Events carry a few
+/// tokens each.
 inline constexpr std::size_t max_event = 2UL * 1024 * 1024;
-/// Bytes of a body.
+/// Bytes of a body. It is passed on as it comes, so this bounds what a caller
+/// is sent in vain.
 inline constexpr std::uint64_t max_answer_body = 64UL * 1024 * 1024;
 
 } // namespace sycamorelock::adapters
--- a/packages/core/lib/direct/domain_demand.cpp
+++ b/packages/core/lib/direct/domain_demand.cpp
@@ -13,7 +13,8 @@
 constexpr duration sweep_period = std::chrono::seconds(5);
 /// Prefixes below this count are removed.
 constexpr double negligible_count = 0.05;
-/// Weight of an even division among instances, in requests of the fleet.
+/// Weight of an even division among instances, in requests of the fleet. One
+/// instance sees too few requests to tell its domain's part at once.
 constexpr double prior_requests = 100;
 
 } // namespace
--- a/packages/core/lib/direct/domain_traffic.cpp
+++ b/packages/core/lib/direct/domain_traffic.cpp
@@ -9,7 +9,8 @@
 namespace
 {
 
-/// Size assumed of an answer to a route without observations.
+/// Size assumed of an answer to a route without observations: some twenty
+/// events of a stream.
 constexpr double default_answer_bytes = 2000;
 /// Number of latest answers that the average covers.
 constexpr double max_weight = 200;
