--- a/test/integration/endless_test.cpp
+++ b/test/integration/endless_test.cpp
@@ -86,6 +86,17 @@
     return plan;
 }
 
+/// Prompts of their own have homes at all endpoints; calls without one share a
+/// few.
+direct_call call_with_own_prompt(direct_fleet& fleet)
+{
+    direct_call made = fleet.make_call(0);
+    describe_prompt(made, 0, 200, 5);
+    made.fields["Prefix-Hash"] =
+        std::to_string(std::hash<std::string>()(made.id)) + ":200";
+    return made;
+}
+
 /// What an instance did with one such endpoint.
 void check_direct(const endless_case& which, const char* path,
                   std::size_t limit, double wait_s)
@@ -174,7 +185,7 @@
     {
         std::vector<direct_call> calls;
         for (std::size_t i = 0; i < at_once; ++i)
-            calls.push_back(fleet.make_call(0));
+            calls.push_back(call_with_own_prompt(fleet));
         std::vector<direct_answer> got(at_once);
         std::vector<std::thread> callers;
         for (std::size_t i = 0; i < at_once; ++i)
