Late news of an earlier start neither removes an endpoint nor brings it back

Cause: removals had no place in the order of the store's changes. Reports of other instances overtake answers of a slow store. A tombstone or an unreadable value that came after the next start's entry removed that entry, and the watch went on behind it, so it was not told again; an older entry that came after a removal was listed again for as long; and any older news of an entry that is missing after an outage ended its grace, so it was kept for good.

Now removals and unreadable values carry their revision: what was written later stays, and what was written before does not come back. The revisions of the newest 1,000 removals are remembered until the store's own listing, which holds as before, also in a store that begins again with lower revisions.

Ruled out, by the test of all orders over the router: load, slowdown, cached prompts and their copies, notices, failures, and open work are kept by a key that includes the start time, for a later, an earlier and an absent one.

--- a/packages/adapters/include/sycamorelock/adapters/direct/dialect.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/dialect.hpp
@@ -79,6 +79,8 @@
 struct endpoint_gone
 {
     std::string boot;
+    /// Revision of the store at which it was removed.
+    std::uint64_t revision = 0;
 };
 
 /// News from the store, in order.
--- a/packages/adapters/lib/direct/control_plane_endpoints.cpp
+++ b/packages/adapters/lib/direct/control_plane_endpoints.cpp
@@ -53,7 +53,10 @@
 {
     for (const core::direct::unreadable_entry& each : entries)
     {
-        if (registry_.drop(each.boot))
+        // Told late: the endpoint has written a sound entry since.
+        if (registry_.knows_newer(each.boot, each.revision))
+            continue;
+        if (registry_.drop(each.boot, each.revision))
             note_gone(each.boot, store_source);
         if (unreadable_.note(each))
             log_.write(direct_event::entry_unreadable,
@@ -129,7 +132,7 @@
     for (const endpoint_gone& gone : news.gone)
     {
         unreadable_.forget(gone.boot);
-        registry_.remove(gone.boot);
+        registry_.remove(gone.boot, gone.revision);
     }
     note_unreadable(news.unreadable);
     changed = drop_expired() || changed;
--- a/packages/core/include/sycamorelock/core/direct/endpoint_registry.hpp
+++ b/packages/core/include/sycamorelock/core/direct/endpoint_registry.hpp
@@ -5,6 +5,7 @@
 #include "sycamorelock/core/direct/release.hpp"
 #include "sycamorelock/core/strong_types.hpp"
 
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -65,16 +66,36 @@
     /// the load for two seconds.
     static constexpr std::size_t few_divisor = 4;
 
-    /// Adds or changes an entry. Returns false if nothing changed.
+    /// Revision of news that is newer than all that is known.
+    static constexpr std::uint64_t newest_revision =
+        std::numeric_limits<std::uint64_t>::max();
+
+    /// Number of removed entries whose revision is remembered. Far more than
+    /// the endpoints that leave while one answer of the store is on its way.
+    static constexpr std::size_t max_removals = 1000;
+
+    /// Adds or changes an entry. Returns false if nothing changed, also if the
+    /// entry is known to have been written or removed later than that.
     bool put(endpoint_record record);
 
     /// Drops an entry that no longer describes an endpoint, also within the
     /// grace period. Returns whether there was one.
-    bool drop(const std::string& boot);
+    ///
+    /// \param revision revision of the store that says so; an entry written
+    /// later stays, such as that of the next start under the same name.
+    bool drop(const std::string& boot,
+              std::uint64_t revision = newest_revision);
 
     /// Records that an entry is missing. It stays in use until the grace period
     /// after an outage has passed; see `expire`.
-    void remove(const std::string& boot);
+    ///
+    /// \param revision as for `drop`.
+    void remove(const std::string& boot,
+                std::uint64_t revision = newest_revision);
+
+    /// Whether the known entry was written later than `revision`.
+    [[nodiscard]] bool knows_newer(const std::string& boot,
+                                   std::uint64_t revision) const;
 
     /// Whether an entry is missing and still in use.
     [[nodiscard]] bool is_kept(const std::string& boot) const
@@ -82,7 +103,8 @@
         return missing_.contains(boot);
     }
 
-    /// Applies a complete listing and removes the entries that it lacks.
+    /// Applies a complete listing, read from the store itself, and removes the
+    /// entries that it lacks. What changed since is told again afterwards.
     void replace(const std::vector<endpoint_record>& all);
 
     /// Records that the store is reachable again after an outage, since `at`.
@@ -123,8 +145,14 @@
     }
 
   private:
+    /// Adds or changes an entry, unless the known one is newer.
+    bool apply(endpoint_record record);
     /// Adds and updates entries, and finds those that the listing lacks.
-    listing_changes merge(const std::vector<endpoint_record>& all);
+    listing_changes merge(const std::vector<endpoint_record>& all,
+                          std::uint64_t revision);
+    /// Whether the entry was removed after the record was written.
+    [[nodiscard]] bool was_removed(const endpoint_record& record) const;
+    void note_removal(const std::string& boot, std::uint64_t revision);
     /// Whether so few entries of a service are missing since the end of the
     /// outage that their endpoints have left rather than lapsed.
     [[nodiscard]] bool few_missing(service_id service) const;
@@ -132,6 +160,9 @@
     std::map<std::string, endpoint_record> records_;
     /// Entries that are missing and still in use.
     std::set<std::string> missing_;
+    /// Revisions at which entries were removed. Older news of them may still
+    /// come, as reports of other instances overtake answers of the store.
+    std::map<std::string, std::uint64_t> removed_at_;
     time_point grace_until_;
     /// Revision of the newest adopted listing.
     std::uint64_t adopted_revision_ = 0;
--- a/packages/core/include/sycamorelock/core/direct/unreadable_entries.hpp
+++ b/packages/core/include/sycamorelock/core/direct/unreadable_entries.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <vector>
@@ -17,6 +18,8 @@
 {
     std::string boot;
     std::string reason;
+    /// Revision of the store at which the entry was written.
+    std::uint64_t revision = std::numeric_limits<std::uint64_t>::max();
 };
 
 /// The unreadable entries that are in the store at present.
--- a/packages/core/lib/direct/endpoint_registry.cpp
+++ b/packages/core/lib/direct/endpoint_registry.cpp
@@ -4,6 +4,7 @@
 
 #include "sycamorelock/core/direct/prefix_cache.hpp"
 
+#include <algorithm>
 #include <string_view>
 
 namespace sycamorelock::core::direct
@@ -16,15 +17,51 @@
     return endpoint_id::of(boot + '@' + std::to_string(started_ms));
 }
 
-bool endpoint_registry::drop(const std::string& boot)
+bool endpoint_registry::knows_newer(const std::string& boot,
+                                    std::uint64_t revision) const
 {
+    const auto known = records_.find(boot);
+    return known != records_.end() && known->second.revision > revision;
+}
+
+bool endpoint_registry::was_removed(const endpoint_record& record) const
+{
+    const auto removed = removed_at_.find(record.boot);
+    // A record without a revision has no place in the order.
+    return record.revision > 0 && removed != removed_at_.end() &&
+           removed->second >= record.revision;
+}
+
+void endpoint_registry::note_removal(const std::string& boot,
+                                     std::uint64_t revision)
+{
+    if (revision == newest_revision)
+        return;
+    std::uint64_t& at = removed_at_[boot];
+    at = std::max(at, revision);
+    if (removed_at_.size() <= max_removals)
+        return;
+    removed_at_.erase(std::min_element(removed_at_.begin(), removed_at_.end(),
+                                       [](const auto& a, const auto& b)
+                                       { return a.second < b.second; }));
+}
+
+bool endpoint_registry::drop(const std::string& boot, std::uint64_t revision)
+{
+    if (knows_newer(boot, revision))
+        return false;
+    note_removal(boot, revision);
     missing_.erase(boot);
     return records_.erase(boot) > 0;
 }
 
 bool endpoint_registry::put(endpoint_record record)
 {
-    missing_.erase(record.boot);
+    return !was_removed(record) && apply(std::move(record));
+}
+
+bool endpoint_registry::apply(endpoint_record record)
+{
     endpoint_record& known = records_[record.boot];
     // Instances of earlier builds forward entries without the version.
     if (record.version.empty() && record.revision == known.revision)
@@ -40,30 +77,36 @@
         record.warmup_left <= known.warmup_left;
     if (is_older)
         return false;
+    missing_.erase(record.boot);
+    removed_at_.erase(record.boot);
     known = std::move(record);
     return !unchanged;
 }
 
-void endpoint_registry::remove(const std::string& boot)
+void endpoint_registry::remove(const std::string& boot, std::uint64_t revision)
 {
+    if (knows_newer(boot, revision))
+        return;
+    note_removal(boot, revision);
     if (records_.contains(boot))
         missing_.insert(boot);
 }
 
 endpoint_registry::listing_changes
-endpoint_registry::merge(const std::vector<endpoint_record>& all)
+endpoint_registry::merge(const std::vector<endpoint_record>& all,
+                         std::uint64_t revision)
 {
     listing_changes result;
     std::set<std::string_view> listed;
     for (const endpoint_record& record : all)
     {
         listed.insert(record.boot);
-        if (put(record))
+        if (apply(record))
             result.changed.push_back(record);
     }
     for (const auto& [boot, record] : records_)
     {
-        if (!listed.contains(boot))
+        if (!listed.contains(boot) && record.revision <= revision)
             result.gone.push_back(boot);
     }
     return result;
@@ -71,7 +114,8 @@
 
 void endpoint_registry::replace(const std::vector<endpoint_record>& all)
 {
-    for (const std::string& boot : merge(all).gone)
+    removed_at_.clear();
+    for (const std::string& boot : merge(all, newest_revision).gone)
         remove(boot);
 }
 
@@ -82,9 +126,9 @@
     if (revision < adopted_revision_)
         return {};
     adopted_revision_ = revision;
-    listing_changes result = merge(all);
+    listing_changes result = merge(all, revision);
     for (const std::string& boot : result.gone)
-        drop(boot);
+        drop(boot, revision);
     return result;
 }
 
