A late tombstone of the earlier start, with processes and a slow store

Its waiting call is answered 1.9 s late, another instance has told it of the next start meanwhile, and the watch goes on behind that start's entry. Ruled out: that the endpoint or the other instance had left; the log has endpoint_seen started_ms 3 from the other instance and, 1.2 s later, endpoint_gone from the store. The other tests of the file were not run.

--- a/test/integration/endpoint_news_test.cpp
+++ b/test/integration/endpoint_news_test.cpp
@@ -185,3 +185,42 @@
         std::chrono::duration<double>(std::stod(refused.retry_after)));
     cr_expect_eq(ask(fleet.make_call(0, "/look/1")).status, 200U);
 }
+
+// Guards against an endpoint that one instance loses for good: the entry goes
+// and comes back with another start, another instance tells of that, and the
+// answer of a slow store that tells of the removal comes after it.
+Test(endpoint_news, late_news_of_the_earlier_start_does_not_remove_the_next)
+{
+    direct_plan plan;
+    plan.instances = 2;
+    plan.engines = 1;
+    plan.proxied = true;
+    direct_fleet fleet(plan);
+    const auto knows = [&fleet](std::size_t instance, const char* start) {
+        return fleet.log_of(fleet.at(instance)).find(start) !=
+               std::string::npos;
+    };
+    constexpr const char* second_start = R"("started_ms":"2")";
+    constexpr const char* third_start = R"("started_ms":"3")";
+    // A change ends the waiting call of both, so the next ones begin within
+    // half a second.
+    fleet.list_engine(0, "ready", 2);
+    cr_assert(eventually(
+        [&] { return knows(0, second_start) && knows(1, second_start); },
+        std::chrono::seconds(3)));
+    std::this_thread::sleep_for(milliseconds(600));
+
+    fault slow;
+    slow.delay = milliseconds(1900);
+    fleet.faults().set("*", fleet.at(1).store_address, slow);
+    fleet.unlist_engine(0);
+    std::this_thread::sleep_for(milliseconds(100));
+    fleet.list_engine(0, "ready", 3);
+    cr_assert(
+        eventually([&] { return knows(1, third_start); }, milliseconds(1700)),
+        "the other instance did not help in time");
+    std::this_thread::sleep_for(milliseconds(1500));
+    cr_expect_eq(ask(fleet.make_call(1)).status, 200U);
+    cr_expect_not(knows(1, "endpoint_gone"), "%s",
+                  fleet.log_of(fleet.at(1)).c_str());
+}
