A refusal of a scheduled endpoint is not passed on for a request that may run once

Cause: endpoint_call passed every status of an endpoint on. 408, 421, 429 and 503 promise that a request has not run; a scheduled endpoint has no mark by which it could say so, and may have run it.

Ruled out: treating it as failed_before_answer, which would count an endpoint that answers 429 as failing and take it away from others. The new end turned_away tells the scheduler what it was told before.

Before: refused/a_scheduled_refusal_without_the_mark_is_not_passed_on fails for each of the four statuses at both kinds of service ("503 at desk: status 503"). After: 502, executed "unknown". fleet_refused_test (2), fleet_answers_test (9) and endless/a_refusal_without_the_mark_is_not_passed_on pass.

What may be repeated is answered as its endpoint says, as before (second test).

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -4,6 +4,7 @@
 #include "../answer_limits.hpp"
 #include "../header_copy.hpp"
 #include "../local_shortage.hpp"
+#include "../refusal_status.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
 
@@ -67,21 +68,6 @@
     return std::chrono::duration_cast<milliseconds>(deadline - now());
 }
 
-/// Statuses that promise a caller that its request has not run.
-bool promises_no_run(unsigned status)
-{
-    switch (static_cast<http::status>(status))
-    {
-    case http::status::request_timeout:
-    case http::status::misdirected_request:
-    case http::status::too_many_requests:
-    case http::status::service_unavailable:
-        return true;
-    default:
-        return false;
-    }
-}
-
 } // namespace
 
 std::string_view to_string(attempt_end end)
--- a/packages/adapters/lib/endpoint_call.cpp
+++ b/packages/adapters/lib/endpoint_call.cpp
@@ -4,6 +4,7 @@
 #include "answer_limits.hpp"
 #include "header_copy.hpp"
 #include "local_shortage.hpp"
+#include "refusal_status.hpp"
 #include "socket_state.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
@@ -380,6 +381,10 @@
     const bool open_ended = parser_->need_eof();
     if (open_ended)
         co_return result(attempt_end::failed_before_answer);
+    // Endpoints have no mark by which they could tell that nothing ran. Callers
+    // repeat what may run often anyway.
+    if (!context_.idempotent && promises_no_run(parser_->get().result_int()))
+        co_return result(attempt_end::turned_away);
     event_stream_ = parser_->get()[http::field::content_type].starts_with(
         "text/event-stream");
     const attempt_end end = co_await relay();
--- a/packages/core/include/sycamorelock/core/entry.hpp
+++ b/packages/core/include/sycamorelock/core/entry.hpp
@@ -45,6 +45,9 @@
     not_connected,
     /// The request was sent, but no byte of the answer reached the caller.
     failed_before_answer,
+    /// The endpoint answered that it does not execute the request, which proves
+    /// nothing. No byte of the answer reached the caller.
+    turned_away,
     /// The attempt failed after the answer had begun, so the caller's
     /// connection was closed.
     failed_in_answer,
--- a/packages/core/lib/entry.cpp
+++ b/packages/core/lib/entry.cpp
@@ -303,6 +303,14 @@
         retry_or_refuse(now, found, retry_reason::idempotent_failed,
                         executed::unknown);
         return;
+    case attempt_end::turned_away:
+        send_release(request, result.total,
+                     result.server_error ? attempt_outcome::endpoint_failed
+                                         : attempt_outcome::completed,
+                     duration(0));
+        retry_or_refuse(now, found, retry_reason::idempotent_failed,
+                        executed::unknown);
+        return;
     case attempt_end::failed_in_answer:
         send_release(request, result.total, attempt_outcome::endpoint_failed,
                      duration(0));
