What evaluates a placement is a module of its own

`placement_evaluator` predicts the time to the first token at an endpoint and the cost of choosing it; it reads ledger, cache, links, slowdowns and demand, which it gets through the constructor. `endpoint_state` and `request_profile` have headers of their own, since both sides use them. The draw among endpoints of large fleets stays in `router`, as it needs the random numbers.

Ruled out: other decisions. Trial: a wrapper around `router::decide` hashed every decision (endpoint, predicted times, all terms of the cost, fetch, reason and retry delay, bit by bit) of direct_room, direct_router, direct_engines, direct_slots, direct_domains, uneven_engines, direct_leaving and direct_load: 298,941 decisions, the same hashes before and after. direct_fleet decides nothing.

New: placement_evaluator_test, 7 tests, all pass. A pure move has no old code to fail on, so each was tried with a part taken out (trials): - comparison of fetch and prefill: [FAIL] placement_evaluator::a_prefix_is_fetched_only_if_that_costs_less - wait for prompts: [FAIL] placement_evaluator::waiting_prompts_add_their_prefill - condition on slots and weight: [FAIL] placement_evaluator::a_wait_for_one_unobserved_prompt_is_unreliable - price of failures: [FAIL] placement_evaluator::slow_and_failing_engines_cost_more The other three were not tried so.

--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -12,17 +12,20 @@
 #include "sycamorelock/core/direct/endpoint_health.hpp"
 #include "sycamorelock/core/direct/endpoint_notices.hpp"
 #include "sycamorelock/core/direct/endpoint_registry.hpp"
+#include "sycamorelock/core/direct/endpoint_state.hpp"
 #include "sycamorelock/core/direct/engine_estimator.hpp"
 #include "sycamorelock/core/direct/exchange.hpp"
 #include "sycamorelock/core/direct/hold_time.hpp"
 #include "sycamorelock/core/direct/load_ledger.hpp"
 #include "sycamorelock/core/direct/mechanism.hpp"
 #include "sycamorelock/core/direct/placement_cost.hpp"
+#include "sycamorelock/core/direct/placement_evaluator.hpp"
 #include "sycamorelock/core/direct/prediction_error.hpp"
 #include "sycamorelock/core/direct/prefix_cache.hpp"
 #include "sycamorelock/core/direct/prompt_fetch.hpp"
 #include "sycamorelock/core/direct/prompt_homes.hpp"
 #include "sycamorelock/core/direct/rate_meter.hpp"
+#include "sycamorelock/core/direct/request_profile.hpp"
 #include "sycamorelock/core/direct/return_promises.hpp"
 #include "sycamorelock/core/direct/slow_start.hpp"
 #include "sycamorelock/core/direct/slowdown_tracker.hpp"
@@ -38,45 +41,6 @@
 namespace sycamorelock::core::direct
 {
 
-/// Properties of a request that the routing decision depends on.
-struct request_profile
-{
-    const route* route_config = nullptr;
-    std::optional<account_id> account;
-    /// Parts of the prompt, in order; empty for requests to plain services.
-    std::vector<prompt_part> parts;
-    double prompt_tokens = 0;
-    double output_tokens = 0;
-    /// Size of the request's body.
-    double body_bytes = 0;
-    time_point arrived;
-    /// Time at which the caller gives up.
-    time_point deadline;
-    /// Consumption of the client account relative to its share when the
-    /// request arrived.
-    account_standing standing;
-    /// Release that must continue the stream of a resumed request; empty for a
-    /// new request, which any release may serve.
-    std::optional<release_id> release;
-    /// Urgency of the client account, or else of the route; 0 is the most
-    /// urgent. Set by `router::admit`.
-    unsigned urgency = 1;
-    /// Time since the caller's first attempt, as far as its time budget tells;
-    /// set by `router::admit`.
-    duration since_first_attempt{0};
-    /// Whether the caller was promised room at its return; set by
-    /// `router::admit`.
-    bool is_return = false;
-
-    /// Tokens charged against the client account's share. A generated token
-    /// costs an engine about twice as much as a prompt token, so it counts
-    /// twice.
-    [[nodiscard]] double share_tokens() const
-    {
-        return prompt_tokens + 2 * output_tokens;
-    }
-};
-
 enum class refusal : std::uint8_t
 {
     /// No endpoint of the service is known or usable.
@@ -448,84 +412,6 @@
     [[nodiscard]] const load_ledger& ledger() const { return ledger_; }
 
   private:
-    struct endpoint_state
-    {
-        endpoint_record record;
-        /// Identifiers of `record`. Kept because computing them takes a
-        /// digest.
-        endpoint_id id;
-        release_id release;
-        endpoint_health health;
-        /// The endpoint announced in a response that it is leaving.
-        bool announced_leaving = false;
-        /// End of the back-off that the endpoint requested.
-        time_point backoff_until;
-        /// Operators drain the failure domain of the endpoint.
-        bool is_drained = false;
-        /// Time until which this instance limits its requests to the endpoint
-        /// because it is warming up.
-        time_point limited_until;
-        /// Revision of the latest entry that announced a warm-up.
-        std::uint64_t warming_revision = 0;
-        /// Requests that were placed at the endpoint during its warm-up and
-        /// are not sent yet.
-        unsigned reserved_requests = 0;
-
-        /// Copies the state that the endpoint announced in responses.
-        void apply(const endpoint_notices& notices)
-        {
-            announced_leaving = notices.is_leaving(record);
-            backoff_until = notices.backoff_end(record);
-        }
-        [[nodiscard]] bool is_leaving() const
-        {
-            return record.draining || announced_leaving;
-        }
-        [[nodiscard]] bool is_backing_off(time_point now) const
-        {
-            return now < backoff_until;
-        }
-        [[nodiscard]] bool is_limited(time_point now) const
-        {
-            return now < limited_until;
-        }
-        /// Whether other engines may fetch KV cache contents from this one.
-        [[nodiscard]] bool is_fetch_source(time_point now) const
-        {
-            return is_usable(now) && !is_limited(now);
-        }
-        /// Whether new requests may be placed here, regardless of the warm-up
-        /// limit.
-        [[nodiscard]] bool is_usable(time_point now) const
-        {
-            return !is_leaving() && !is_drained && !is_backing_off(now) &&
-                   !health.is_ejected(now);
-        }
-    };
-    using endpoint_list = std::span<const endpoint_state* const>;
-    struct candidate
-    {
-        const endpoint_state* state = nullptr;
-        double wait_ms = 0;
-        double prefill_ms = 0;
-        double cached = 0;
-        double slowdown = 1;
-        std::optional<slowdown_belief> reported;
-        double reported_slowdown = 1;
-        /// Number of further requests that get a slot immediately, and the
-        /// wait, in ms, that each request beyond them adds.
-        double free_slots = 0;
-        double ms_per_request = 1;
-        std::optional<fetch_plan> fetch;
-        placement_cost cost;
-    };
-    /// The engine that holds the longest cached prefix of a prompt.
-    struct prompt_source
-    {
-        const endpoint_state* state = nullptr;
-        double tokens = 0;
-    };
-
     /// Rates of a service's requests that this instance evaluated, and of
     /// those that it sent.
     struct admission_rates
@@ -537,52 +423,11 @@
         [[nodiscard]] double evaluated_per_sent(time_point now) const;
     };
 
-    /// State shared by all candidates for one request.
-    struct request_context
-    {
-        time_point now;
-        const request_profile& request;
-        const service& service_info;
-        prefill_cost_model figures;
-        hold_time hold_estimate;
-        prompt_source source;
-        /// Price, in ms, of serving the request in another failure domain; 0 if
-        /// that has none.
-        double remote_price_ms = 0;
-        /// Prefill time, in ms, of the part of the prompt that is not shared,
-        /// on an engine with slowdown factor 1. It delays other requests alike
-        /// wherever the request is placed, so that it is no reason to leave the
-        /// failure domain. 0 where that has no price.
-        double unshared_prefill_ms = 0;
-
-        /// Mean processing time, in ms, of a request to a plain service.
-        double plain_work_ms = 0;
-
-        /// Mean time, in ms, for which a request of the service occupies a
-        /// slot.
-        [[nodiscard]] double mean_hold_ms() const;
-        /// Prefill time, in ms, of an engine with slowdown factor 1 that has
-        /// `kept` tokens of the prompt in its KV cache.
-        [[nodiscard]] double prefill_ms(double kept) const
-        {
-            return figures.prefill_time_ms(kept, request.prompt_tokens - kept);
-        }
-    };
-
-    [[nodiscard]] request_context
+    /// Evaluates by the current state; valid until the router changes.
+    [[nodiscard]] placement_evaluator make_evaluator() const;
+    [[nodiscard]] evaluation_context
     make_context(time_point now, const request_profile& request,
                  const service& service_info) const;
-    /// Predicts the time to the first token at one endpoint and the cost of
-    /// choosing it.
-    [[nodiscard]] candidate evaluate(const request_context& context,
-                                     const endpoint_state& endpoint) const;
-    void evaluate_engine(const request_context& context,
-                         candidate& result) const;
-    /// Expected saving of traffic by a new copy of the request's shared prefix
-    /// at an engine of the own failure domain. It makes up for no more than
-    /// what the copy costs other requests.
-    void evaluate_saved_traffic(const request_context& context,
-                                candidate& result) const;
     /// Adds engines of the own failure domain to those that may prefill the
     /// request's shared prefix.
     void add_domain_homes(std::uint64_t key,
@@ -595,42 +440,29 @@
     /// Whether the price of traffic between failure domains is part of the
     /// decisions about a service.
     [[nodiscard]] bool prices_domains(service_id service) const;
-    /// Multiplies the observed slowdown by the one that the endpoint reports,
-    /// for the given amount of work.
-    static void apply_reported_slowdown(double work_ms, candidate& result);
-    void evaluate_plain(const request_context& context,
-                        candidate& result) const;
     /// Chooses the best of the endpoints that the request may be sent to.
-    [[nodiscard]] std::optional<candidate>
-    choose_endpoint(const request_context& context,
+    [[nodiscard]] std::optional<placement_candidate>
+    choose_endpoint(const evaluation_context& context,
                     const std::vector<const endpoint_state*>& endpoints);
     /// Draws the endpoint at random, such that the requests that other
     /// instances have sent since their last reports spread over all endpoints.
     /// The wait of the result assumes a random position among those requests.
-    candidate draw_candidate(const request_context& context,
-                             std::vector<candidate> candidates);
+    placement_candidate
+    draw_candidate(const evaluation_context& context,
+                   std::vector<placement_candidate> candidates);
     /// Estimated number of other instances' requests at this endpoint that
     /// have completed since the last reports.
-    [[nodiscard]] double unreported_completions(const request_context& context,
-                                                const candidate& option) const;
+    [[nodiscard]] double
+    unreported_completions(const evaluation_context& context,
+                           const placement_candidate& option) const;
     /// Estimated number of requests that other instances would have sent to
     /// these endpoints since their last reports if they had refused none.
     [[nodiscard]] double
-    unreported_requests(const request_context& context,
-                        std::span<const candidate> candidates) const;
-    /// Plans to fetch the cached prefix from another engine where that costs
-    /// less than prefill.
-    void evaluate_fetch(const request_context& context,
-                        candidate& result) const;
-    [[nodiscard]] prompt_source find_source(time_point now,
-                                            const request_profile& request,
-                                            const service& service_info) const;
-    /// Whether the predicted wait at an engine comes from a single prompt
-    /// whose prefill time is a default estimate, not an observation.
-    [[nodiscard]] bool wait_is_unreliable(const request_context& context,
-                                          const candidate& option) const;
+    unreported_requests(const evaluation_context& context,
+                        std::span<const placement_candidate> candidates) const;
     [[nodiscard]] placement_decision
-    make_placement(const request_context& context, candidate best) const;
+    make_placement(const evaluation_context& context,
+                   placement_candidate best) const;
     void update_default_estimates();
     /// Applies the warm-up state in a new entry of an endpoint.
     void apply_warmup_entry(time_point now, endpoint_state& endpoint,
@@ -682,11 +514,6 @@
     slowdown_change(time_point now, const placement_decision& placement) const;
     /// Updates the estimate from a completed request.
     void record_hold_time(time_point now, const placement_decision& placement);
-    [[nodiscard]] double prefill_cost_factor() const;
-    /// Prefill time, in ms, with the delay that its repeated part is expected
-    /// to cause to other requests.
-    [[nodiscard]] double prefill_cost(const request_context& context,
-                                      const candidate& option) const;
     [[nodiscard]] bool uses(mechanism which) const
     {
         return options_.mechanisms.is_enabled(which);
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -320,7 +320,7 @@
     update_listed_releases(now);
 }
 
-router::endpoint_list router::endpoints_of(service_id service) const
+endpoint_list router::endpoints_of(service_id service) const
 {
     const auto listed = endpoints_by_service_.find(service);
     if (listed == endpoints_by_service_.end())
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -14,31 +14,6 @@
 namespace
 {
 
-/// Weight of prefill time in the cost of a placement, in addition to the delay
-/// of the request itself: repeating the prefill of a prefix that another
-/// engine has cached delays every later request.
-constexpr double repeated_prefill_cost_factor = 5.0;
-/// Weight of transfer time in the cost of a placement, in addition to the
-/// delay of the request itself: a transfer occupies two links and leaves one
-/// more copy, which takes memory from other prompts. A weight of 2 lowers the
-/// benchmark score of days with failures from 0.645 to 0.616; 20 changes it by
-/// 0.003 at most.
-constexpr double transfer_cost_factor = 10.0;
-/// Minimum number of tokens to fetch: prefill of fewer takes less time than
-/// setting up a transfer.
-constexpr double min_fetch_tokens = 32;
-/// Expected delay, in ms, caused by an endpoint that fails every request.
-constexpr double failure_cost_ms = 2000;
-/// Round-trip time, in ms, to an endpoint in another failure domain.
-constexpr double remote_domain_cost_ms = 3;
-/// Maximum of the term that breaks ties, in ms. It is derived from a hash, so
-/// that all instances agree on the order of the endpoints.
-constexpr double max_tie_break_ms = 15;
-/// Fraction of an engine's slots that placements may use. The remainder is
-/// reserved for requests of other instances that have not been reported yet.
-/// In the engine model, with engines slowed down by a factor of three, it
-/// lowers the proportion of late first tokens from 27 to 19 in 100.
-constexpr double usable_slot_fraction = 0.95;
 /// Mean age, in ms, of the reports from other instances in a large fleet: two
 /// waits for a report (one every 50 ms), the ticks of three processes and the
 /// network delays between them.
@@ -46,14 +21,12 @@
 /// Number of homes of a prefix in the own failure domain: with one, there would
 /// be no alternative to its queue.
 constexpr std::size_t domain_home_count = 2;
-/// Time up to which the demand for a prefix is predicted from its past.
-constexpr duration max_demand_forecast = std::chrono::seconds(30);
 /// Requests that may wait at a plain endpoint, as a multiple of its slots.
 constexpr double max_plain_backlog = 3.0;
 
 } // namespace
 
-std::vector<const router::endpoint_state*>
+std::vector<const endpoint_state*>
 router::usable_endpoints(time_point now, const request_profile& request,
                          const service& service_info,
                          const std::set<endpoint_id>& tried) const
@@ -101,34 +74,17 @@
     }
 }
 
-router::prompt_source router::find_source(time_point now,
-                                          const request_profile& request,
-                                          const service& service_info) const
+placement_evaluator router::make_evaluator() const
 {
-    prompt_source best;
-    if (!service_info.can_fetch() || request.parts.empty() ||
-        !uses(mechanism::prompt_fetch))
-        return best;
-    double best_busy_ms = 0;
-    for (const endpoint_state* state : endpoints_of(service_info.id))
-    {
-        if (!state->is_fetch_source(now))
-            continue;
-        const double tokens = cache_.ready(now, state->id, request.parts);
-        const double busy_ms = fetch_links_.busy_ms(now, state->id);
-        const bool better = tokens > best.tokens ||
-                            (tokens == best.tokens && busy_ms < best_busy_ms);
-        if (tokens < min_fetch_tokens || !better)
-            continue;
-        best = {state, tokens};
-        best_busy_ms = busy_ms;
-    }
-    return best;
+    return {{ledger_, cache_, fetch_links_, slowdowns_, domain_demand_},
+            options_.mechanisms,
+            options_.domain,
+            options_.seed};
 }
 
-router::request_context router::make_context(time_point now,
-                                             const request_profile& request,
-                                             const service& service_info) const
+evaluation_context router::make_context(time_point now,
+                                        const request_profile& request,
+                                        const service& service_info) const
 {
     const auto learned = estimators_.find(service_info.id);
     const double remote_price_ms =
@@ -136,17 +92,18 @@
             ? domain_traffic_.price_ms(request.route_config->name,
                                        request.body_bytes)
             : 0;
-    request_context result{now,
-                           request,
-                           service_info,
-                           learned == estimators_.end()
-                               ? prefill_cost_model()
-                               : learned->second.figures(),
-                           hold_time_of(service_info),
-                           find_source(now, request, service_info),
-                           remote_price_ms,
-                           0,
-                           plain_work_ms(service_info.id)};
+    evaluation_context result{
+        now,
+        request,
+        service_info,
+        learned == estimators_.end() ? prefill_cost_model()
+                                     : learned->second.figures(),
+        hold_time_of(service_info),
+        make_evaluator().find_source(now, request, service_info,
+                                     endpoints_of(service_info.id)),
+        remote_price_ms,
+        0,
+        plain_work_ms(service_info.id)};
     // Without a price, failure domains hardly matter, and the weight of the
     // whole prefill favours the engines that are fastest at present.
     if (remote_price_ms > 0)
@@ -161,152 +118,22 @@
            predicts_single_requests(service);
 }
 
-void router::evaluate_fetch(const request_context& context,
-                            candidate& result) const
-{
-    const endpoint_state* const source = context.source.state;
-    const double tokens = context.source.tokens - result.cached;
-    if (source == nullptr || source == result.state ||
-        tokens < min_fetch_tokens)
-        return;
-    const double transfer_ms =
-        fetch_links_.transfer_ms(context.now, context.service_info, source->id,
-                                 result.state->id, tokens);
-    candidate fetched = result;
-    fetched.prefill_ms =
-        context.prefill_ms(context.source.tokens) * result.slowdown;
-    fetched.cost.prefill = prefill_cost(context, fetched);
-    fetched.cost.transfer = transfer_ms * (1 + transfer_cost_factor);
-    if (fetched.cost.transfer + fetched.cost.prefill >= result.cost.prefill)
-        return;
-    fetched.cached = context.source.tokens;
-    fetched.fetch =
-        fetch_plan{source->id, source->record.address, tokens, transfer_ms};
-    result = std::move(fetched);
-}
-
-void router::apply_reported_slowdown(double work_ms, candidate& result)
-{
-    if (!result.reported)
-        return;
-    result.reported_slowdown = result.reported->over(work_ms);
-    // The observed slowdown corrects the reported one.
-    result.slowdown *= result.reported_slowdown;
-}
-
-void router::evaluate_engine(const request_context& context,
-                             candidate& result) const
-{
-    const endpoint_id id = result.state->id;
-    const endpoint_work work = ledger_.total(id);
-    const double slots = std::max(1U, result.state->record.slots);
-    result.cached = std::min(cache_.cached(id, context.request.parts),
-                             context.request.prompt_tokens);
-    apply_reported_slowdown(work.unread_ms + context.prefill_ms(result.cached),
-                            result);
-    result.prefill_ms = context.prefill_ms(result.cached) * result.slowdown;
-    result.free_slots =
-        slots * usable_slot_fraction - work.running - work.waiting;
-    result.ms_per_request =
-        context.hold_estimate.mean_ms() / (slots * usable_slot_fraction);
-    result.wait_ms =
-        work.unread_ms * result.slowdown +
-        context.hold_estimate.wait_ms(work.running + work.waiting,
-                                      slots * usable_slot_fraction);
-    // A prompt that does not fit into the free memory waits until requests end.
-    if (work.tokens + context.request.prompt_tokens >
-        context.service_info.kv_capacity_tokens)
-        result.wait_ms += to_ms(std::chrono::milliseconds(1000));
-    result.cost.wait = result.wait_ms;
-    result.cost.prefill = prefill_cost(context, result);
-    evaluate_fetch(context, result);
-    if (context.remote_price_ms > 0 && uses(mechanism::domain_homes) &&
-        result.state->record.domain == options_.domain)
-        evaluate_saved_traffic(context, result);
-}
-
-void router::evaluate_saved_traffic(const request_context& context,
-                                    candidate& result) const
-{
-    const double transfer_ms = result.fetch ? result.fetch->transfer_ms : 0;
-    const double cost_to_others = prefill_cost(context, result) -
-                                  result.prefill_ms +
-                                  transfer_ms * transfer_cost_factor;
-    if (cost_to_others <= 0)
-        return;
-    const double expected = domain_demand_.expected_requests(
-        context.now, shared_key(context.request.parts),
-        cache_.residence(result.state->id, max_demand_forecast));
-    result.cost.saved_traffic =
-        std::min(cost_to_others, expected * context.remote_price_ms);
-}
-
-void router::evaluate_plain(const request_context& context,
-                            candidate& result) const
-{
-    const unsigned waiting = ledger_.total(result.state->id).waiting;
-    const double slots = std::max(1U, result.state->record.slots);
-    apply_reported_slowdown(context.plain_work_ms, result);
-    result.prefill_ms = context.plain_work_ms * result.slowdown;
-    result.free_slots = slots - waiting;
-    result.ms_per_request = result.prefill_ms / slots;
-    result.wait_ms =
-        std::max(0.0, 1 - result.free_slots) * result.ms_per_request;
-    result.cost.wait = result.wait_ms;
-    result.cost.prefill = result.ms_per_request * (waiting + 1);
-}
-
-router::candidate router::evaluate(const request_context& context,
-                                   const endpoint_state& endpoint) const
-{
-    candidate result;
-    result.state = &endpoint;
-    if (uses(mechanism::engine_speed))
-        result.slowdown = endpoint.health.slowdown(context.now);
-    if (uses(mechanism::reported_slowdown))
-        result.reported = slowdowns_.belief(context.now, endpoint.id);
-    if (context.service_info.is_engine())
-        evaluate_engine(context, result);
-    else
-        evaluate_plain(context, result);
-    if (uses(mechanism::failure_price))
-        result.cost.failure =
-            endpoint.health.failure_rate(context.now) * failure_cost_ms;
-    if (endpoint.record.domain != options_.domain)
-        result.cost.remote_domain =
-            remote_domain_cost_ms + context.remote_price_ms;
-    const std::uint64_t key = context.request.parts.empty()
-                                  ? options_.seed
-                                  : shared_key(context.request.parts);
-    // A tie is not worth the price of leaving the failure domain.
-    const double tie_break_ms =
-        context.remote_price_ms > 0
-            ? std::min(max_tie_break_ms, context.remote_price_ms)
-            : max_tie_break_ms;
-    result.cost.tie_break = rank_of(key, endpoint.id) * tie_break_ms;
-    return result;
-}
-
-double router::request_context::mean_hold_ms() const
-{
-    return service_info.is_engine() ? hold_estimate.mean_ms() : plain_work_ms;
-}
-
-double router::unreported_completions(const request_context& context,
-                                      const candidate& option) const
+double router::unreported_completions(const evaluation_context& context,
+                                      const placement_candidate& option) const
 {
     const double slots = option.state->record.slots;
     return std::min<double>(ledger_.open_elsewhere(option.state->id), slots) *
            mean_report_age_ms / std::max(1.0, context.mean_hold_ms());
 }
 
-double router::unreported_requests(const request_context& context,
-                                   std::span<const candidate> candidates) const
+double router::unreported_requests(
+    const evaluation_context& context,
+    std::span<const placement_candidate> candidates) const
 {
     // Little's law: as many requests arrive within the mean hold time as are
     // open.
     double open = 0;
-    for (const candidate& each : candidates)
+    for (const placement_candidate& each : candidates)
         open += ledger_.open_elsewhere(each.state->id);
     const auto known = admissions_.find(context.service_info.id);
     const double evaluated_per_sent =
@@ -326,12 +153,13 @@
                     (evaluated.rate_at(now) + one) / (sent.rate_at(now) + one));
 }
 
-router::candidate router::draw_candidate(const request_context& context,
-                                         std::vector<candidate> candidates)
+placement_candidate
+router::draw_candidate(const evaluation_context& context,
+                       std::vector<placement_candidate> candidates)
 {
     std::vector<endpoint_cost> offers;
     offers.reserve(candidates.size());
-    for (const candidate& each : candidates)
+    for (const placement_candidate& each : candidates)
     {
         const double wait_ms =
             std::max(0.0, 1 - each.free_slots) * each.ms_per_request;
@@ -345,7 +173,7 @@
     std::discrete_distribution<std::size_t> pick(expected.begin(),
                                                  expected.end());
     const std::size_t drawn = pick(random_);
-    candidate best = std::move(candidates[drawn]);
+    placement_candidate best = std::move(candidates[drawn]);
     // A random number of the other instances' requests reached the endpoint
     // before this one.
     std::uniform_real_distribution<double> earlier(0, expected[drawn]);
@@ -356,36 +184,24 @@
     return best;
 }
 
-std::optional<router::candidate>
-router::choose_endpoint(const request_context& context,
+std::optional<placement_candidate>
+router::choose_endpoint(const evaluation_context& context,
                         const std::vector<const endpoint_state*>& endpoints)
 {
-    std::vector<candidate> evaluated;
+    const placement_evaluator evaluator = make_evaluator();
+    std::vector<placement_candidate> evaluated;
     evaluated.reserve(endpoints.size());
     for (const endpoint_state* state : endpoints)
-        evaluated.push_back(evaluate(context, *state));
+        evaluated.push_back(evaluator.evaluate(context, *state));
     if (evaluated.empty())
         return std::nullopt;
     if (large_fleet_ && context.request.parts.empty() &&
         uses(mechanism::unseen_requests))
         return draw_candidate(context, std::move(evaluated));
-    return std::move(
-        *std::min_element(evaluated.begin(), evaluated.end(),
-                          [](const candidate& a, const candidate& b)
-                          { return a.cost.total() < b.cost.total(); }));
-}
-
-double router::prefill_cost(const request_context& context,
-                            const candidate& option) const
-{
-    const double repeated_ms = std::max(
-        0.0, option.prefill_ms - context.unshared_prefill_ms * option.slowdown);
-    return option.prefill_ms + repeated_ms * prefill_cost_factor();
-}
-
-double router::prefill_cost_factor() const
-{
-    return uses(mechanism::reread_price) ? repeated_prefill_cost_factor : 0;
+    return std::move(*std::min_element(
+        evaluated.begin(), evaluated.end(),
+        [](const placement_candidate& a, const placement_candidate& b)
+        { return a.cost.total() < b.cost.total(); }));
 }
 
 bool router::admits_by_objective(const service& service_info) const
@@ -478,7 +294,7 @@
     refused.is_promised = advice.is_promised;
 }
 
-std::vector<const router::endpoint_state*>
+std::vector<const endpoint_state*>
 router::endpoints_of_release(const request_profile& request,
                              service_id service) const
 {
@@ -543,8 +359,9 @@
     if (allowed_ms < 0)
         return refuse_excess_demand(request);
     ledger_.advance(now);
-    const request_context context = make_context(now, request, *service_info);
-    std::optional<candidate> best = choose_endpoint(
+    const evaluation_context context =
+        make_context(now, request, *service_info);
+    std::optional<placement_candidate> best = choose_endpoint(
         context, usable_endpoints(now, request, *service_info, tried));
     if (!best)
         return refuse_without_endpoint(now, request, target_service);
@@ -557,8 +374,9 @@
     // requests more than the refusal does.
     admission_rates& admitted = admissions_[service_info->id];
     admitted.evaluated.add(now, 1);
-    const bool is_unknown = wait_is_unreliable(context, *best) &&
-                            best->wait_ms < to_ms(request.deadline - now);
+    const bool is_unknown =
+        make_evaluator().wait_is_unreliable(context, *best) &&
+        best->wait_ms < to_ms(request.deadline - now);
     if (best->wait_ms > allowed_ms && !is_unknown)
     {
         const double service_ms =
@@ -578,19 +396,8 @@
     return result;
 }
 
-bool router::wait_is_unreliable(const request_context& context,
-                                const candidate& option) const
-{
-    // From this weight on, the observations count at least as much as the
-    // default estimate.
-    static constexpr double known_weight = 2 * engine_estimator::prior_weight;
-    return context.service_info.is_engine() &&
-           context.figures.weight < known_weight && option.free_slots >= 1 &&
-           ledger_.total(option.state->id).waiting <= 1;
-}
-
-placement_decision router::make_placement(const request_context& context,
-                                          candidate best) const
+placement_decision router::make_placement(const evaluation_context& context,
+                                          placement_candidate best) const
 {
     placement_decision result;
     result.endpoint = best.state->record;
