--- a/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/control_plane.hpp
@@ -63,6 +63,8 @@
     void on_list(const endpoint_page& all);
     void
     note_unreadable(const std::vector<core::direct::unreadable_entry>& entries);
+    void log_unreadable(core::direct::unreadable_entries& known,
+                        const core::direct::unreadable_entry& seen);
     void on_news(const store_news& news);
     void on_bytes(const std::string& bytes);
     void send(core::direct::exchange_report report);
@@ -139,6 +141,8 @@
     core::direct::endpoint_registry registry_;
     core::direct::drained_domains drains_;
     core::direct::unreadable_entries unreadable_;
+    /// The same of what operators have written.
+    core::direct::unreadable_entries unreadable_operators_;
     std::unique_ptr<exchange_links> links_;
     store_watch store_;
     std::uint64_t version_ = 0;
--- a/packages/adapters/lib/direct/control_plane_endpoints.cpp
+++ b/packages/adapters/lib/direct/control_plane_endpoints.cpp
@@ -48,6 +48,18 @@
                {{"endpoint", boot}, {"source", store_source}});
 }
 
+void control_plane::log_unreadable(core::direct::unreadable_entries& known,
+                                   const core::direct::unreadable_entry& seen)
+{
+    if (!known.note(now(), seen))
+        return;
+    log_.write(direct_event::entry_unreadable,
+               {{"entry", seen.boot},
+                {"reason",
+                 seen.reason.substr(
+                     0, core::direct::unreadable_entries::max_reason_bytes)}});
+}
+
 void control_plane::note_unreadable(
     const std::vector<core::direct::unreadable_entry>& entries)
 {
@@ -58,17 +70,15 @@
             continue;
         if (registry_.drop(each.boot, each.revision))
             note_gone(each.boot, store_source);
-        if (unreadable_.note(each))
-            log_.write(direct_event::entry_unreadable,
-                       {{"entry", each.boot}, {"reason", each.reason}});
+        log_unreadable(unreadable_, each);
     }
 }
 
 void control_plane::on_operators(const operator_page& all)
 {
+    unreadable_operators_.keep_only(all.unreadable);
     for (const core::direct::unreadable_entry& each : all.unreadable)
-        log_.write(direct_event::entry_unreadable,
-                   {{"entry", each.boot}, {"reason", each.reason}});
+        log_unreadable(unreadable_operators_, each);
     drains_changed(drains_.replace(now(), all.revision, all.drains),
                    store_source);
 }
--- a/packages/core/include/sycamorelock/core/direct/unreadable_entries.hpp
+++ b/packages/core/include/sycamorelock/core/direct/unreadable_entries.hpp
@@ -4,6 +4,8 @@
 // meanwhile.
 #pragma once
 
+#include "sycamorelock/core/strong_types.hpp"
+
 #include <cstdint>
 #include <limits>
 #include <map>
@@ -29,9 +31,19 @@
     /// Maximum number of entries kept. Further ones are counted but not logged.
     static constexpr std::size_t max_entries = 1000;
 
+    /// Maximum number of entries to be logged per `line_window`. Another
+    /// writer may change its entries with each heartbeat, and must not displace
+    /// what an operator looks for in the log.
+    static constexpr unsigned max_lines = 60;
+    static constexpr duration line_window = std::chrono::minutes(1);
+
+    /// Maximum number of bytes of a reason.
+    static constexpr std::size_t max_reason_bytes = 120;
+
     /// Records an entry. Returns whether it should be logged: it is new, or
-    /// unreadable for another reason than before.
-    bool note(const unreadable_entry& seen);
+    /// unreadable for another reason than before, and few have been logged
+    /// lately. Those not logged are counted.
+    bool note(time_point now, const unreadable_entry& seen);
     /// Removes an entry that has left the store or has become readable.
     void forget(const std::string& boot) { known_.erase(boot); }
     /// Removes the entries that a complete listing doesn't contain.
@@ -43,8 +55,13 @@
     [[nodiscard]] std::uint64_t seen() const { return seen_; }
 
   private:
+    /// Whether one more line may be logged; if so, it counts as logged.
+    bool take_line(time_point now);
+
     std::map<std::string, std::string> known_;
     std::uint64_t seen_ = 0;
+    time_point window_start_;
+    unsigned lines_in_window_ = 0;
 };
 
 } // namespace sycamorelock::core::direct
--- a/packages/core/lib/direct/unreadable_entries.cpp
+++ b/packages/core/lib/direct/unreadable_entries.cpp
@@ -6,16 +6,30 @@
 namespace sycamorelock::core::direct
 {
 
-bool unreadable_entries::note(const unreadable_entry& seen)
+bool unreadable_entries::take_line(time_point now)
 {
+    if (lines_in_window_ == 0 || now - window_start_ >= line_window)
+    {
+        window_start_ = now;
+        lines_in_window_ = 0;
+    }
+    if (lines_in_window_ >= max_lines)
+        return false;
+    ++lines_in_window_;
+    return true;
+}
+
+bool unreadable_entries::note(time_point now, const unreadable_entry& seen)
+{
+    const std::string reason = seen.reason.substr(0, max_reason_bytes);
     const auto known = known_.find(seen.boot);
-    if (known != known_.end() && known->second == seen.reason)
+    if (known != known_.end() && known->second == reason)
         return false;
     ++seen_;
     if (known == known_.end() && known_.size() >= max_entries)
         return false;
-    known_[seen.boot] = seen.reason;
-    return true;
+    known_[seen.boot] = reason;
+    return take_line(now);
 }
 
 void unreadable_entries::keep_only(const std::vector<unreadable_entry>& listed)
--- a/packages/core/unittests/direct_store_test.cpp
+++ b/packages/core/unittests/direct_store_test.cpp
@@ -257,21 +257,42 @@
 Test(direct_unreadable, an_entry_is_logged_once_until_it_is_removed)
 {
     unreadable_entries known;
-    cr_expect(known.note({"e", "no address"}));
-    cr_expect_not(known.note({"e", "no address"}));
-    cr_expect(known.note({"e", "no slots"}));
+    cr_expect(known.note(start, {"e", "no address"}));
+    cr_expect_not(known.note(start, {"e", "no address"}));
+    cr_expect(known.note(start, {"e", "no slots"}));
     cr_expect_eq(known.count(), 1U);
     cr_expect_eq(known.seen(), 2U);
     known.forget("e");
-    cr_expect(known.note({"e", "no slots"}));
-    known.note({"f", "no slots"});
+    cr_expect(known.note(start, {"e", "no slots"}));
+    known.note(start, {"f", "no slots"});
     known.keep_only({{"f", "no slots"}});
     cr_expect_eq(known.count(), 1U);
     for (std::size_t i = 0; i < 2 * unreadable_entries::max_entries; ++i)
-        known.note({std::to_string(i), "bad"});
+        known.note(start, {std::to_string(i), "bad"});
     cr_expect_eq(known.count(), unreadable_entries::max_entries);
 }
 
+// Guards against a log that another writer fills: many entries, or one whose
+// fault changes with each heartbeat, or whose value shows up in the reason.
+Test(direct_unreadable, lines_are_bounded_in_number_and_all_are_counted)
+{
+    unreadable_entries known;
+    unsigned lines = 0;
+    for (int i = 0; i < 500; ++i)
+    {
+        const time_point now = start + milliseconds(100 * i);
+        lines += known.note(now, {"flaps", i % 2 == 0 ? "a" : "b"}) ? 1 : 0;
+        lines += known.note(now, {std::to_string(i), "c"}) ? 1 : 0;
+    }
+    cr_expect_eq(lines, unreadable_entries::max_lines);
+    cr_expect_eq(known.seen(), 1000U);
+    cr_expect(known.note(start + seconds(60), {"later", "a"}));
+    // Reasons are kept and compared by their beginning.
+    const std::string longest(unreadable_entries::max_reason_bytes, 'x');
+    cr_expect(known.note(start + seconds(60), {"long", longest + "1"}));
+    cr_expect_not(known.note(start + seconds(60), {"long", longest + "2"}));
+}
+
 // Guards against keeping endpoints that have left. An instance that alone had
 // lost the store treated its reconnection as the end of an outage.
 Test(direct_registry,
--- a/test/integration/direct_operations_test.cpp
+++ b/test/integration/direct_operations_test.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <memory>
+#include <sstream>
 #include <thread>
 
 using namespace standin;
@@ -470,6 +471,54 @@
     cr_expect_eq(told, 4U, "%zu lines", told);
 }
 
+// Guards against a log that another writer fills: large values that would show
+// up in the reason, an entry whose fault changes with each write, and start
+// times that are none.
+Test(direct, what_another_writer_wrote_does_not_fill_the_log)
+{
+    // An instance may skip a value that another one has read, if the endpoints
+    // are the same; a single one reads all.
+    direct_plan plan;
+    plan.instances = 1;
+    direct_fleet fleet(plan);
+    const auto entry_with = [](const std::string& state, const char* born)
+    {
+        return R"({"service":"planner","address":"127.0.0.1:9","zone":"a",)"
+               R"("version":"v1","slots":8,"state":")" +
+               state + R"(","warmup_left_ms":0,"seq":1,"born":)" + born + '}';
+    };
+    fleet.list_foreign("large", entry_with(std::string(300'000, 'x'), "1"));
+    fleet.list_foreign("epoch", entry_with("ready", "0"));
+    fleet.list_foreign("never", entry_with("ready", "1e300"));
+    for (const char* other : {"gone", "asleep", "busy", "lost"})
+    {
+        fleet.list_foreign("flaps", entry_with(other, "1"));
+        std::this_thread::sleep_for(milliseconds(600));
+    }
+    cr_expect(eventually(
+                  [&] {
+                      return fleet.says(
+                          fleet.at(0),
+                          "sycamorelock_store_entries_unreadable 4");
+                  },
+                  std::chrono::seconds(4)),
+              "%s", fleet.log_of(fleet.at(0)).c_str());
+    for (int i = 0; i < 10; ++i)
+        cr_expect_eq(ask(fleet.make_call(0)).status, 200U);
+    std::istringstream log(fleet.log_of(fleet.at(0)));
+    std::size_t told = 0;
+    std::size_t longest = 0;
+    for (std::string line; std::getline(log, line);)
+    {
+        if (line.find("entry_unreadable") == std::string::npos)
+            continue;
+        ++told;
+        longest = std::max(longest, line.size());
+    }
+    cr_expect_eq(told, 4U, "%zu lines", told);
+    cr_expect_lt(longest, 1000U, "%zu bytes", longest);
+}
+
 Test(direct, an_endpoint_that_starts_again_under_its_name_serves)
 {
     direct_plan plan;
