--- a/packages/adapters/lib/caller_session.cpp
+++ b/packages/adapters/lib/caller_session.cpp
@@ -212,6 +212,7 @@
         });
     const error_code error = co_await read_request(stream_, buffer_, request);
     limit.cancel();
+    has_key_ = has_idempotency_key(request.get());
     if (!error)
         co_return true;
     keep_ = false;
@@ -425,8 +426,10 @@
     const std::chrono::milliseconds retry_after(later ? 1000 : 0);
     if (later)
         response.set(http::field::retry_after, whole_seconds(retry_after));
-    response.body() =
-        problem(reason, core::executed::no, status, detail, retry_after, "");
+    // Only the owner of a key can say that nothing ran under it.
+    const core::executed ran =
+        has_key_ ? core::executed::unknown : core::executed::no;
+    response.body() = problem(reason, ran, status, detail, retry_after, "");
     co_return co_await write(std::move(response));
 }
 
--- a/packages/adapters/lib/caller_session.hpp
+++ b/packages/adapters/lib/caller_session.hpp
@@ -82,6 +82,8 @@
     bool watching_ = false;
     bool gone_ = false;
     bool keep_ = true;
+    /// The request has an idempotency key, under which it may have run before.
+    bool has_key_ = false;
     /// The connection ends as soon as no request is at hand.
     bool ending_ = false;
     bool busy_ = false;
--- a/packages/adapters/lib/request_fields.hpp
+++ b/packages/adapters/lib/request_fields.hpp
@@ -32,6 +32,9 @@
 std::optional<std::string>
 bearer_key(const http::request<http::string_body>& request);
 
+/// Whether a request has an idempotency key, readable or not.
+bool has_idempotency_key(const http::request<http::string_body>& request);
+
 /// Fills urgency, deadline, hint, idempotency and prompt prefix.
 /// \throws field_error naming the field that cannot be used.
 void read_request_fields(const http::request<http::string_body>& request,
