Test: a stray refusal on a used connection is taken for the answer of a request that runs

An endpoint sends bytes that belong to no request before its answer; they look like a refusal with the mark and name no request, and the connection was used before.

--- a/test/integration/refused_test.cpp
+++ b/test/integration/refused_test.cpp
@@ -245,3 +245,19 @@
     cr_expect_gt(refused + open_ended, 0);
     cr_expect_gt(open_ended, 0);
 }
+
+// Fault: bytes that belong to no request come before the answer, on a
+// connection that is used again, and look like a refusal.
+Test(refused, a_stray_refusal_on_a_used_connection_is_no_answer)
+{
+    direct_plan plan;
+    plan.instances = 1;
+    plan.plain = 1;
+    direct_fleet fleet(plan);
+    cr_expect_eq(ask(fleet.make_call(0, "/order/x")).status, 200U);
+    fleet.plain(0).set_fault(answer_fault::stray_refusal);
+    const direct_call order = fleet.make_call(0, "/order/x");
+    const direct_answer got = ask(order);
+    cr_expect_eq(fleet.runs_of(order.id), 1);
+    cr_expect(!promises_no_run(got.status), "status %u", got.status);
+}
--- a/test/standins/direct_engine.cpp
+++ b/test/standins/direct_engine.cpp
@@ -400,6 +400,15 @@
         more =
             co_await send(stream, std::move(bytes), answer_fault::none, whole);
     }
+    else if (fault == answer_fault::stray_refusal)
+    {
+        std::string bytes =
+            "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+            "Content-Length: 0\r\n\r\n" +
+            own_answer;
+        more =
+            co_await send(stream, std::move(bytes), answer_fault::none, whole);
+    }
     else if (fault != answer_fault::lost && events_ > 0)
         more = co_await stream_events(stream, run, fault);
     else if (fault != answer_fault::lost)
--- a/test/standins/direct_engine.hpp
+++ b/test/standins/direct_engine.hpp
@@ -32,6 +32,8 @@
     unframed,
     /// Sends the answer to the request before once more, first.
     extra,
+    /// Sends before its answer a refusal that names no request.
+    stray_refusal,
     /// Sends without end, see `set_endless`.
     endless,
 };
