What admits a request is a module of its own

`admission_control` gives the longest allowed wait and, for a predicted wait, the reason of the refusal; it gets configuration, promises of room and mechanisms through the constructor, and what depends on the service with each call. The reasons and `refusal_decision` have a header of their own. Whether a service admits by objective is now asked once for a decision (up to twice before), since nothing changes in between.

Ruled out: other decisions.

--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -5,7 +5,7 @@
 
 #include "sycamorelock/core/crash_tracker.hpp"
 #include "sycamorelock/core/direct/account_shares.hpp"
-#include "sycamorelock/core/direct/admission.hpp"
+#include "sycamorelock/core/direct/admission_control.hpp"
 #include "sycamorelock/core/direct/catalogue.hpp"
 #include "sycamorelock/core/direct/domain_demand.hpp"
 #include "sycamorelock/core/direct/domain_traffic.hpp"
@@ -25,6 +25,7 @@
 #include "sycamorelock/core/direct/prompt_fetch.hpp"
 #include "sycamorelock/core/direct/prompt_homes.hpp"
 #include "sycamorelock/core/direct/rate_meter.hpp"
+#include "sycamorelock/core/direct/refusal.hpp"
 #include "sycamorelock/core/direct/request_profile.hpp"
 #include "sycamorelock/core/direct/return_promises.hpp"
 #include "sycamorelock/core/direct/slow_start.hpp"
@@ -41,39 +42,6 @@
 namespace sycamorelock::core::direct
 {
 
-enum class refusal : std::uint8_t
-{
-    /// No endpoint of the service is known or usable.
-    no_endpoint,
-    /// Operators drain the failure domains of all endpoints of the service
-    /// that are not leaving.
-    drained,
-    /// All endpoints of the service that are not leaving have requested
-    /// back-off.
-    backing_off,
-    /// All usable endpoints are warming up and have received this instance's
-    /// quota.
-    warming_up,
-    /// The predicted wait is longer than the objective of the service allows.
-    overloaded,
-    /// The client account demands more than its share of a busy pool.
-    beyond_share,
-    /// The deadline of the request has passed.
-    too_late,
-    /// The request resumes a stream, and no reachable instance knows the
-    /// release that began it.
-    release_unknown,
-    /// No listed endpoint runs the release of the stream, or all that do are
-    /// leaving.
-    release_gone,
-    /// This instance is shutting down and may exit before the request
-    /// completes.
-    instance_shutting_down,
-    /// Several endpoints have crashed under the request.
-    quarantined,
-};
-std::string_view to_string(refusal reason);
-
 /// Keys of the parts of a prompt that may crash the engines that answer on
 /// them: all but the last one, which belongs to the request or its session.
 std::vector<crash_key> shared_part_keys(std::span<const prompt_part> parts);
@@ -112,19 +80,6 @@
     bool is_probe = false;
 };
 
-struct refusal_decision
-{
-    refusal reason = refusal::no_endpoint;
-    milliseconds retry_after{0};
-    double wait_ms = 0;
-    /// Wait, in ms, above which the request is refused.
-    double allowed_ms = 0;
-    /// Predicted time to the first token, in ms.
-    double predicted_ms = 0;
-    /// Whether room is promised to the caller at its return.
-    bool is_promised = false;
-};
-
 using routing_decision = std::variant<placement_decision, refusal_decision>;
 
 /// How an attempt at an endpoint ended.
@@ -519,16 +474,10 @@
         return options_.mechanisms.is_enabled(which);
     }
     [[nodiscard]] unsigned urgency_of(const request_profile& request) const;
-    /// Longest allowed wait, in ms; a request with a longer one is refused.
-    /// Negative if the request is refused whatever the wait.
-    /// \param service_ms predicted time from the end of the wait to the first
-    /// token.
-    [[nodiscard]] double max_wait_ms(time_point now,
-                                     const request_profile& request,
-                                     const service& service_info,
-                                     double service_ms) const;
-    /// Whether requests of the service are admitted by their own objectives.
-    [[nodiscard]] bool admits_by_objective(const service& service_info) const;
+    [[nodiscard]] admission_control make_admission() const;
+    /// What admission needs to know of a service.
+    [[nodiscard]] admission_control::service_conditions
+    admission_conditions(const service& service_info) const;
     /// Refuses a request. The retry delay is drawn from 0.5 to 1.5 times
     /// `pause_ms`, so that callers return at different times.
     refusal_decision refuse(refusal reason, double pause_ms, double wait_ms);
@@ -536,8 +485,8 @@
     [[nodiscard]] double add_jitter(double ms);
     /// Refuses a request with a retry delay of at least `time`.
     refusal_decision refuse_until(refusal reason, duration time);
-    refusal_decision refuse_for_load(const request_profile& request,
-                                     double wait_ms, double allowed_ms);
+    refusal_decision refuse_for_load(refusal reason, double wait_ms,
+                                     double allowed_ms);
     /// Sets the retry delay of a refusal to a time at which there will be
     /// room.
     void schedule_return(time_point now, const request_profile& request,
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -21,8 +21,6 @@
 /// Number of homes of a prefix in the own failure domain: with one, there would
 /// be no alternative to its queue.
 constexpr std::size_t domain_home_count = 2;
-/// Requests that may wait at a plain endpoint, as a multiple of its slots.
-constexpr double max_plain_backlog = 3.0;
 
 } // namespace
 
@@ -204,38 +202,19 @@
         { return a.cost.total() < b.cost.total(); }));
 }
 
-bool router::admits_by_objective(const service& service_info) const
+admission_control router::make_admission() const
 {
-    return service_info.is_engine() && uses(mechanism::objective_admission) &&
-           predicts_single_requests(service_info.id);
+    return {*config_, return_promises_, options_.mechanisms};
 }
 
-double router::max_wait_ms(time_point now, const request_profile& request,
-                           const service& service_info, double service_ms) const
+admission_control::service_conditions
+router::admission_conditions(const service& service_info) const
 {
-    const double time_left_ms = to_ms(request.deadline - now);
-    if (!service_info.is_engine())
-        return std::min(max_plain_backlog * plain_work_ms(service_info.id),
-                        time_left_ms);
-    admission_query query;
-    query.objective_ms = to_ms(request.route_config->objective);
-    query.tightest_objective_ms =
-        to_ms(config_->tightest_objective(service_info.id));
-    query.time_left_ms = time_left_ms;
-    query.standing = request.standing;
-    query.urgency = request.urgency;
-    if (admits_by_objective(service_info))
-    {
-        query.objective_ms -=
-            to_ms(now - request.arrived + request.since_first_attempt);
-        query.is_return = request.is_return;
-        query.promised_ms =
-            return_promises_.promised_wait_ms(now, service_info.id);
-        query.service_ms = service_ms;
-        query.error_factor = error_factor(service_info.id);
-        return objective_admission(options_.mechanisms).max_wait_ms(query);
-    }
-    return uniform_admission(options_.mechanisms).max_wait_ms(query);
+    const bool by_objective = service_info.is_engine() &&
+                              uses(mechanism::objective_admission) &&
+                              predicts_single_requests(service_info.id);
+    return {service_info, by_objective, plain_work_ms(service_info.id),
+            error_factor(service_info.id)};
 }
 
 refusal_decision router::refuse(refusal reason, double pause_ms, double wait_ms)
@@ -253,13 +232,11 @@
     return {reason, milliseconds(static_cast<int>(pause)), 0};
 }
 
-refusal_decision router::refuse_for_load(const request_profile& request,
-                                         double wait_ms, double allowed_ms)
+refusal_decision router::refuse_for_load(refusal reason, double wait_ms,
+                                         double allowed_ms)
 {
     // The retry delays spread the callers over the time that the backlog
     // takes.
-    const refusal reason =
-        request.standing.owed > 1 ? refusal::beyond_share : refusal::overloaded;
     refusal_decision result = refuse(reason, wait_ms, wait_ms);
     result.allowed_ms = allowed_ms;
     return result;
@@ -351,8 +328,12 @@
     const service* service_info = find_service(target_service);
     if (service_info == nullptr)
         return refuse_without_endpoint(now, request, target_service);
-    double allowed_ms = repeated ? std::numeric_limits<double>::infinity()
-                                 : max_wait_ms(now, request, *service_info, 0);
+    const admission_control admission = make_admission();
+    const admission_control::service_conditions conditions =
+        admission_conditions(*service_info);
+    double allowed_ms =
+        repeated ? std::numeric_limits<double>::infinity()
+                 : admission.max_wait_ms(now, request, conditions, 0);
     // A negative limit refuses every request, so endpoints are not evaluated:
     // an account that floods the instance must not take processor time from
     // other accounts.
@@ -365,24 +346,24 @@
         context, usable_endpoints(now, request, *service_info, tried));
     if (!best)
         return refuse_without_endpoint(now, request, target_service);
-    if (!repeated && admits_by_objective(*service_info))
-        allowed_ms = max_wait_ms(now, request, *service_info,
-                                 best->prefill_ms +
-                                     context.figures.first_ms * best->slowdown);
+    const double service_ms =
+        best->prefill_ms + context.figures.first_ms * best->slowdown;
+    if (!repeated && conditions.by_objective)
+        allowed_ms =
+            admission.max_wait_ms(now, request, conditions, service_ms);
     // The request is refused rather than sent to an engine with a shorter wait
     // that would have to repeat the whole prefill: under load that costs other
     // requests more than the refusal does.
     admission_rates& admitted = admissions_[service_info->id];
     admitted.evaluated.add(now, 1);
-    const bool is_unknown =
-        make_evaluator().wait_is_unreliable(context, *best) &&
-        best->wait_ms < to_ms(request.deadline - now);
-    if (best->wait_ms > allowed_ms && !is_unknown)
+    const std::optional<refusal> reason = admission_control::verdict(
+        now, request,
+        {best->wait_ms, make_evaluator().wait_is_unreliable(context, *best)},
+        allowed_ms);
+    if (reason)
     {
-        const double service_ms =
-            best->prefill_ms + context.figures.first_ms * best->slowdown;
         refusal_decision refused =
-            refuse_for_load(request, best->wait_ms, allowed_ms);
+            refuse_for_load(*reason, best->wait_ms, allowed_ms);
         refused.predicted_ms = best->wait_ms + service_ms;
         if (promises_returns(target_service) && service_info->is_engine())
             schedule_return(now, request, target_service, refused, service_ms);
