What answers refused callers is a module of its own

`refusal_builder` builds refusals and their retry delays from the random numbers that it gets through the constructor, one for each as before. Which reason applies if no endpoint is usable, and the places of promised returns, stay in `router`: they need its endpoints and accounts.

Ruled out: other decisions or random numbers.

--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -25,7 +25,7 @@
 #include "sycamorelock/core/direct/prompt_fetch.hpp"
 #include "sycamorelock/core/direct/prompt_homes.hpp"
 #include "sycamorelock/core/direct/rate_meter.hpp"
-#include "sycamorelock/core/direct/refusal.hpp"
+#include "sycamorelock/core/direct/refusal_builder.hpp"
 #include "sycamorelock/core/direct/request_profile.hpp"
 #include "sycamorelock/core/direct/return_promises.hpp"
 #include "sycamorelock/core/direct/slow_start.hpp"
@@ -478,15 +478,10 @@
     /// What admission needs to know of a service.
     [[nodiscard]] admission_control::service_conditions
     admission_conditions(const service& service_info) const;
-    /// Refuses a request. The retry delay is drawn from 0.5 to 1.5 times
-    /// `pause_ms`, so that callers return at different times.
-    refusal_decision refuse(refusal reason, double pause_ms, double wait_ms);
-    /// Returns a random time from `ms` to 1.25 times `ms`.
-    [[nodiscard]] double add_jitter(double ms);
-    /// Refuses a request with a retry delay of at least `time`.
-    refusal_decision refuse_until(refusal reason, duration time);
-    refusal_decision refuse_for_load(refusal reason, double wait_ms,
-                                     double allowed_ms);
+    [[nodiscard]] refusal_builder make_refusals()
+    {
+        return refusal_builder(random_);
+    }
     /// Sets the retry delay of a refusal to a time at which there will be
     /// room.
     void schedule_return(time_point now, const request_profile& request,
@@ -511,7 +506,6 @@
     /// Passes the longest stream timeout, the services that share a route and
     /// the changed route targets of a new configuration to the stream table.
     void update_stream_routes(time_point now, const catalogue& newer);
-    refusal_decision refuse_excess_demand(const request_profile& request);
     /// Estimated capacity, in tokens, of the endpoint's KV cache for prompts;
     /// 0 if the endpoint is unknown or no engine.
     [[nodiscard]] double cache_capacity_tokens(endpoint_id endpoint) const;
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -240,14 +240,7 @@
     if (!first_end)
         return std::nullopt;
     return milliseconds(static_cast<milliseconds::rep>(
-        std::ceil(add_jitter(to_ms(*first_end - now)))));
-}
-
-double router::add_jitter(double ms)
-{
-    // Keeps callers from all returning at the moment at which the delay ends.
-    std::uniform_real_distribution<double> spread(1, 1.25);
-    return ms * spread(random_);
+        std::ceil(make_refusals().add_jitter(to_ms(*first_end - now)))));
 }
 
 void router::set_endpoints(time_point now,
--- a/packages/core/lib/direct/router_crashes.cpp
+++ b/packages/core/lib/direct/router_crashes.cpp
@@ -42,8 +42,8 @@
 refusal_decision router::refuse_quarantined(time_point now,
                                             std::span<const crash_key> keys)
 {
-    return refuse_until(refusal::quarantined,
-                        crashes_.time_to_probe(now, keys));
+    return make_refusals().refuse_until(refusal::quarantined,
+                                        crashes_.time_to_probe(now, keys));
 }
 
 } // namespace sycamorelock::core::direct
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -217,31 +217,6 @@
             error_factor(service_info.id)};
 }
 
-refusal_decision router::refuse(refusal reason, double pause_ms, double wait_ms)
-{
-    static constexpr double min_delay_ms = 100;
-    std::uniform_real_distribution<double> spread(0.5, 1.5);
-    const double pause = std::max(min_delay_ms, pause_ms) * spread(random_);
-    return {reason, milliseconds(static_cast<int>(pause)), wait_ms};
-}
-
-refusal_decision router::refuse_until(refusal reason, duration time)
-{
-    static constexpr double min_delay_ms = 100;
-    const double pause = add_jitter(std::max(min_delay_ms, to_ms(time)));
-    return {reason, milliseconds(static_cast<int>(pause)), 0};
-}
-
-refusal_decision router::refuse_for_load(refusal reason, double wait_ms,
-                                         double allowed_ms)
-{
-    // The retry delays spread the callers over the time that the backlog
-    // takes.
-    refusal_decision result = refuse(reason, wait_ms, wait_ms);
-    result.allowed_ms = allowed_ms;
-    return result;
-}
-
 double router::error_factor(service_id service) const
 {
     const auto known = prediction_errors_.find(service);
@@ -302,22 +277,13 @@
     if (const auto pause = backoff_delay_of(now, known))
         return {refusal::backing_off, *pause, 0};
     if (const auto free = warmup_delay(now, known))
-        return refuse_until(refusal::warming_up, *free);
+        return make_refusals().refuse_until(refusal::warming_up, *free);
     if (all_drained(known))
-        return refuse(refusal::drained, to_ms(drained_pause), 0);
+        return make_refusals().refuse(refusal::drained, to_ms(drained_pause),
+                                      0);
     return {refusal::no_endpoint, short_delay, 0};
 }
 
-refusal_decision router::refuse_excess_demand(const request_profile& request)
-{
-    // The recent consumption of the account decays exponentially; requests are
-    // refused until it is back at the limit.
-    const double decay_ms = to_ms(rate_meter::time_constant) *
-                            std::log(request.standing.fair /
-                                     uniform_admission::far_beyond_share_ratio);
-    return refuse(refusal::beyond_share, decay_ms, 0);
-}
-
 routing_decision router::decide(time_point now, request_profile& request,
                                 service_id target_service,
                                 const std::set<endpoint_id>& tried,
@@ -338,7 +304,7 @@
     // an account that floods the instance must not take processor time from
     // other accounts.
     if (allowed_ms < 0)
-        return refuse_excess_demand(request);
+        return make_refusals().refuse_excess_demand(request.standing);
     ledger_.advance(now);
     const evaluation_context context =
         make_context(now, request, *service_info);
@@ -363,7 +329,7 @@
     if (reason)
     {
         refusal_decision refused =
-            refuse_for_load(*reason, best->wait_ms, allowed_ms);
+            make_refusals().refuse_for_load(*reason, best->wait_ms, allowed_ms);
         refused.predicted_ms = best->wait_ms + service_ms;
         if (promises_returns(target_service) && service_info->is_engine())
             schedule_return(now, request, target_service, refused, service_ms);
--- a/packages/core/lib/direct/router_streams.cpp
+++ b/packages/core/lib/direct/router_streams.cpp
@@ -99,7 +99,8 @@
 {
     // Another instance may know the release, or become reachable again.
     static constexpr milliseconds short_delay{500};
-    return refuse(refusal::release_unknown, to_ms(short_delay), 0);
+    return make_refusals().refuse(refusal::release_unknown, to_ms(short_delay),
+                                  0);
 }
 
 } // namespace sycamorelock::core::direct
