An event may have 2 MB again; chunks that have come together are parsed together in direct routing too

The bound was not the cause of the slow close: each chunk of 4 bytes cost a read of its own.

Now the parser gets what has been read already, as scheduled routing does since (one function for both). What is billed and learned is counted without framing, as before.

Ruled out: a bound on chunks of an event, which would cut sound endpoints that send small chunks.

--- a/packages/adapters/lib/answer_limits.hpp
+++ b/packages/adapters/lib/answer_limits.hpp
@@ -19,9 +19,9 @@
 inline constexpr unsigned max_leading_headers = 16;
 /// Bytes of one event, which is held until it is whole. Events carry a few
 /// tokens each.
-inline constexpr std::size_t max_event = 256UL * 1024;
-/// Bytes of a body. It is passed on as it comes, so this bounds what a caller
-/// is sent in vain.
+inline constexpr std::size_t max_event = 2UL * 1024 * 1024;
+/// Bytes of a body, framing included. It is passed on as it comes, so this
+/// bounds what a caller is sent in vain.
 inline constexpr std::uint64_t max_answer_body = 64UL * 1024 * 1024;
 
 } // namespace sycamorelock::adapters
--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -2,6 +2,7 @@
 #include "attempt.hpp"
 
 #include "../answer_limits.hpp"
+#include "../buffered_body.hpp"
 #include "../header_copy.hpp"
 #include "../local_shortage.hpp"
 #include "../refusal_status.hpp"
@@ -471,6 +472,13 @@
     body.size = piece_.size();
     auto [error, bytes] = co_await http::async_read_some(
         channel_->socket, channel_->buffer, *parser_, as_result);
+    // What comes before a fault is passed on first; the next call meets the
+    // fault again.
+    error_code later_fault;
+    if (!error && body.size < piece_.size())
+        read_bytes_ +=
+            parse_buffered_body(channel_->buffer, *parser_, later_fault);
+    read_bytes_ += bytes;
     piece_size_ = piece_.size() - body.size;
     if (!error || piece_size_ > 0)
         note_read();
@@ -481,7 +489,7 @@
     if (error == http::error::buffer_overflow)
         endless_ = "framing";
     body_bytes_ += piece_size_;
-    if (body_bytes_ > max_answer_body)
+    if (read_bytes_ > max_answer_body)
     {
         endless_ = "body";
         error = http::error::body_limit;
@@ -507,6 +515,7 @@
     if (!meta)
         co_return stopped("no_answer");
     body_bytes_ = 0;
+    read_bytes_ = 0;
     const auto& header = parser_->get();
     status_ = header.result_int();
     if (meta->wrong_endpoint)
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -173,6 +173,8 @@
     std::size_t piece_size_ = 0;
     /// Bytes of the body so far.
     std::uint64_t body_bytes_ = 0;
+    /// The same, framing included.
+    std::uint64_t read_bytes_ = 0;
     /// Part of the answer that was longer than it may be; empty for none.
     std::string_view endless_;
     held_answer held_;
--- a/packages/adapters/lib/endpoint_call.cpp
+++ b/packages/adapters/lib/endpoint_call.cpp
@@ -2,6 +2,7 @@
 #include "endpoint_call.hpp"
 
 #include "answer_limits.hpp"
+#include "buffered_body.hpp"
 #include "header_copy.hpp"
 #include "local_shortage.hpp"
 #include "refusal_status.hpp"
@@ -258,15 +259,6 @@
     co_return !error;
 }
 
-error_code endpoint_call::parse_buffered()
-{
-    error_code error;
-    while (!error && buffer_.size() > 0 && !parser_->is_done() &&
-           parser_->get().body().size > 0)
-        buffer_.consume(parser_->put(buffer_.data(), error));
-    return error == http::error::need_more ? error_code() : error;
-}
-
 asio::awaitable<core::attempt_end> endpoint_call::relay()
 {
     using core::attempt_end;
@@ -285,7 +277,8 @@
         auto [error, bytes] = co_await http::async_read_some(
             *stream_, buffer_, *parser_, as_result);
         if (!error)
-            error = parse_buffered();
+            read_bytes_ += parse_buffered_body(buffer_, *parser_, error);
+        read_bytes_ += bytes;
         if (error && error != http::error::need_buffer)
         {
             has_broken_ = is_broken_connection(error);
@@ -304,7 +297,7 @@
         first = false;
         count_tokens(piece.data(), size);
         const bool endless_event = event_stream_ && event_bytes_ > max_event;
-        if (endless_event || body_bytes_ > max_answer_body)
+        if (endless_event || read_bytes_ > max_answer_body)
         {
             note_endless(endless_event ? "event" : "body");
             co_return attempt_end::failed_in_answer;
--- a/packages/adapters/lib/endpoint_call.hpp
+++ b/packages/adapters/lib/endpoint_call.hpp
@@ -67,9 +67,6 @@
     asio::awaitable<core::attempt_end> relay();
     asio::awaitable<bool> write_header();
     asio::awaitable<bool> write_piece(const char* data, std::size_t size);
-    /// Parses what has been read already into the rest of the piece, so that
-    /// many small chunks are passed on together.
-    error_code parse_buffered();
     /// Tells that a part of the answer was longer than it may be.
     void note_endless(std::string_view part);
     void count_tokens(const char* data, std::size_t size);
@@ -98,6 +95,8 @@
     bool previous_newline_ = false;
     std::uint64_t tokens_ = 0;
     std::uint64_t body_bytes_ = 0;
+    /// Bytes of the body so far, framing included.
+    std::uint64_t read_bytes_ = 0;
     /// Of the event that is not complete yet.
     std::uint64_t event_bytes_ = 0;
     core::time_point started_;
