--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -4,7 +4,6 @@
 #include "sycamorelock/core/direct/unseen_requests.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <iterator>
 #include <limits>
 
