--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -41,11 +41,11 @@
                         continue;
                     }
                     runs.add(id, name);
-                    bool open = to.send(
-                        "HTTP/1.1 200 OK\r\nAttempt-Id: " + id +
-                        "\r\nServer-Seal: s-" + id +
-                        "\r\nContent-Type: text/event-stream\r\n"
-                        "Transfer-Encoding: chunked\r\n\r\n");
+                    bool open =
+                        to.send("HTTP/1.1 200 OK\r\nAttempt-Id: " + id +
+                                "\r\nServer-Seal: s-" + id +
+                                "\r\nContent-Type: text/event-stream\r\n"
+                                "Transfer-Encoding: chunked\r\n\r\n");
                     for (int i = 1; i <= events && open; ++i)
                     {
                         sleep_ms(gap_ms);
@@ -56,11 +56,11 @@
                         char size[20];
                         std::snprintf(size, sizeof size, "%zx\r\n",
                                       event.size());
-                        open = !to.is_closed() && to.send(size + event + "\r\n");
+                        open =
+                            !to.is_closed() && to.send(size + event + "\r\n");
                     }
-                    out.line("%s %s at %s",
-                             open ? "done    " : "closed  ", id.c_str(),
-                             name.c_str());
+                    out.line("%s %s at %s", open ? "done    " : "closed  ",
+                             id.c_str(), name.c_str());
                     if (!open || !to.send("0\r\n\r\n"))
                         return;
                 }
@@ -82,11 +82,11 @@
         links.push_back(connection::open(only.frontend()));
         const std::string id = "stream-" + std::to_string(i);
         out.line("send     %s", id.c_str());
-        links.back()->send(with_body(
-            request_head("POST", "/plan/1", id, 12000) +
-                "Model: m\r\nToken-Usage: 460,80\r\nPrefix-Hash: "
-                "5c1e07a2:400,91bd3f06:60\r\n",
-            "prompt"));
+        links.back()->send(
+            with_body(request_head("POST", "/plan/1", id, 12000) +
+                          "Model: m\r\nToken-Usage: 460,80\r\nPrefix-Hash: "
+                          "5c1e07a2:400,91bd3f06:60\r\n",
+                      "prompt"));
     }
     sleep_ms(400);
     // From here on the engines have no room for another request.
--- a/review/common/busy_fleet.hpp
+++ b/review/common/busy_fleet.hpp
@@ -13,14 +13,16 @@
     static constexpr int kept_channels = 12;
     static constexpr long work_ms = 500;
 
-    /// What a replica does before it takes a request, given its name. It goes on
-    /// as a sound one unless the result is true.
-    using spoiler = std::function<bool(const std::string&, connection&,
-                                       const message&)>;
+    /// What a replica does before it takes a request, given its name. It goes
+    /// on as a sound one unless the result is true.
+    using spoiler =
+        std::function<bool(const std::string&, connection&, const message&)>;
 
     explicit busy_fleet(record& out, spoiler spoil = {},
-                        const std::vector<std::string>& replicas = {
-                            "desk1", "desk2", "desk3", "shelf1"},
+                        const std::vector<std::string>& replicas = {"desk1",
+                                                                    "desk2",
+                                                                    "desk3",
+                                                                    "shelf1"},
                         unsigned slots = 32)
         : out_(out), runs_(out), spoil_(std::move(spoil))
     {
@@ -89,8 +91,7 @@
         out_.line("result   %d requests answered on kept channels, %d answers "
                   "of success without the seal of their request",
                   answered_.load(), mixed_.load());
-        std::printf("answered %d, mixed %d\n", answered_.load(),
-                    mixed_.load());
+        std::printf("answered %d, mixed %d\n", answered_.load(), mixed_.load());
         if (answered_ < kept_channels)
             return exit_not_run;
         return mixed_ > 0 ? exit_broken : exit_held;
@@ -175,10 +176,10 @@
             const std::string id =
                 "kept-" + std::to_string(number) + '-' + std::to_string(i);
             message got;
-            const int status = ask(
-                *link,
-                with_body(request_head("POST", "/order/kept", id), "order"), id,
-                got);
+            const int status =
+                ask(*link,
+                    with_body(request_head("POST", "/order/kept", id), "order"),
+                    id, got);
             if (status == 0)
             {
                 if (i > 0 && runs_.count(id) > 0)
--- a/review/common/standin.hpp
+++ b/review/common/standin.hpp
@@ -54,7 +54,8 @@
 class record
 {
   public:
-    explicit record(const std::string& path) : out_(std::fopen(path.c_str(), "w"))
+    explicit record(const std::string& path)
+        : out_(std::fopen(path.c_str(), "w"))
     {
         if (out_ == nullptr)
             throw std::runtime_error("cannot write " + path);
@@ -240,8 +241,7 @@
     [[nodiscard]] int status() const
     {
         const std::size_t at = first_line.find(' ');
-        return at == std::string::npos ? 0
-                                       : std::atoi(first_line.c_str() + at);
+        return at == std::string::npos ? 0 : std::atoi(first_line.c_str() + at);
     }
 };
 
@@ -288,9 +288,8 @@
         if (line.empty())
             break;
         const std::size_t colon = line.find(':');
-        std::string value = colon == std::string::npos
-                                ? std::string()
-                                : line.substr(colon + 1);
+        std::string value =
+            colon == std::string::npos ? std::string() : line.substr(colon + 1);
         value.erase(0, value.find_first_not_of(' '));
         out.fields.emplace_back(line.substr(0, colon), value);
     }
@@ -316,9 +315,9 @@
     const std::string length = out.field("Content-Length");
     if (!length.empty())
     {
-        out.whole = read_bytes(from, out.body,
-                               std::strtoul(length.c_str(), nullptr, 10),
-                               timeout_ms);
+        out.whole =
+            read_bytes(from, out.body,
+                       std::strtoul(length.c_str(), nullptr, 10), timeout_ms);
         return out.whole || is_answer;
     }
     if (is_answer)
@@ -436,9 +435,8 @@
         unsigned value = 0;
         for (std::size_t j = 0; j < 3; ++j)
             value = value << 8U |
-                    (i + j < in.size()
-                         ? static_cast<unsigned char>(in[i + j])
-                         : 0U);
+                    (i + j < in.size() ? static_cast<unsigned char>(in[i + j])
+                                       : 0U);
         out += digits[value >> 18U & 63U];
         out += digits[value >> 12U & 63U];
         out += i + 1 < in.size() ? digits[value >> 6U & 63U] : '=';
@@ -550,8 +548,9 @@
                 continue;
             entries += (entries.empty() ? "" : ",") + json(key, held);
         }
-        return R"({"entries":[)" + entries + R"(],"more_pages":false,"as_of":)" +
-               std::to_string(revision_) + '}';
+        return R"({"entries":[)" + entries +
+               R"(],"more_pages":false,"as_of":)" + std::to_string(revision_) +
+               '}';
     }
     std::string watch(const std::string& target)
     {
@@ -578,10 +577,11 @@
             if (each.revision <= after || !each.key.starts_with(prefix))
                 continue;
             events += events.empty() ? "" : ",";
-            events += each.gone ? R"({"key":")" + each.key + R"(","revision":)" +
-                                      std::to_string(each.revision) +
-                                      R"(,"tombstone":true})"
-                                : json(each.key, {each.revision, each.value});
+            events += each.gone
+                          ? R"({"key":")" + each.key + R"(","revision":)" +
+                                std::to_string(each.revision) +
+                                R"(,"tombstone":true})"
+                          : json(each.key, {each.revision, each.value});
         }
         return R"({"events":[)" + events + R"(],"as_of":)" +
                std::to_string(revision_) + '}';
@@ -655,8 +655,8 @@
 {
   public:
     instance(std::string name, const std::string& zone, const address& store_at,
-             const std::vector<std::string>& seed_ips, const std::string& folder,
-             std::string ip = own_ip())
+             const std::vector<std::string>& seed_ips,
+             const std::string& folder, std::string ip = own_ip())
         : name_(std::move(name)), ip_(std::move(ip)),
           settings_(folder + '/' + name_ + ".settings"),
           log_(folder + '/' + name_ + ".log")
