FAIR: what a refusal knew of shares and of the endpoints, by account

The lines of refusals had the account's standing against two shares, but not the figures behind it, their age, or which endpoints were compared; placements had nothing of it. So four hypotheses (docs/incidents/ accounts-far-below-their-share.md) could not be told apart from logs.

Now: request_refused_directly has what the account asked for and was served over the fleet, both shares, the age of the newest report, how many endpoints were listed and compared, why the others were not, and the shortest queue of all usable ones; request_placed has the standing. A counter by account and reason, bounded to 64 accounts and one for the others. Values of labels are escaped.

Tests: direct_router/a_refusal_tells_what_was_compared_and_the_shares_in_force, direct_metrics/refusals_are_counted_by_a_bounded_number_of_accounts.

--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
@@ -22,6 +22,34 @@
     latency_histogram total;
 };
 
+/// Refusals by client account and reason. The number of accounts is bounded;
+/// those beyond it are counted together.
+class account_refusals
+{
+  public:
+    /// Accounts that have counters of their own.
+    static constexpr std::size_t max_accounts = 64;
+    /// Name under which further accounts are counted.
+    static constexpr const char* others = "others";
+
+    void add(const std::string& account, const std::string& reason)
+    {
+        const bool has_room =
+            counts_.contains(account) || counts_.size() < max_accounts;
+        ++counts_[has_room ? account : others][reason];
+    }
+    /// Counts by reason, by account.
+    [[nodiscard]] const std::map<std::string,
+                                 std::map<std::string, std::uint64_t>>&
+    counts() const
+    {
+        return counts_;
+    }
+
+  private:
+    std::map<std::string, std::map<std::string, std::uint64_t>> counts_;
+};
+
 struct direct_metrics
 {
     std::uint64_t accepted = 0;
@@ -40,6 +68,7 @@
     std::uint64_t reports_sent = 0;
     std::uint64_t reports_received = 0;
     std::map<std::string, std::uint64_t> refused;
+    account_refusals refused_accounts;
     std::map<std::string, std::uint64_t> retried;
     std::map<std::string, std::uint64_t> ended;
     std::map<std::string, std::uint64_t> withheld;
--- a/packages/adapters/lib/direct/request_log.cpp
+++ b/packages/adapters/lib/direct/request_log.cpp
@@ -5,6 +5,9 @@
 
 #include "sycamorelock/adapters/clocks.hpp"
 
+#include <cmath>
+#include <utility>
+
 namespace sycamorelock::adapters::direct
 {
 
@@ -29,6 +32,40 @@
     return std::to_string(static_cast<std::int64_t>(share * hundred));
 }
 
+std::string text_or_none(std::string_view text)
+{
+    return std::string(text.empty() ? "none" : text);
+}
+
+/// A rate that may be infinite.
+std::string rate_text(double per_second)
+{
+    return std::isfinite(per_second) ? ms_text(per_second) : "none";
+}
+
+/// Counts of the endpoints that were passed over, "reason:count" each.
+std::string passed_over_text(const core::direct::endpoint_survey& survey)
+{
+    std::string text;
+    for (const auto& [reason, count] :
+         {std::pair("other_release", survey.other_release),
+          std::pair("leaving", survey.leaving),
+          std::pair("drained", survey.drained),
+          std::pair("resting", survey.backing_off),
+          std::pair("ejected", survey.ejected),
+          std::pair("warming_up", survey.warming_up),
+          std::pair("tried", survey.tried),
+          std::pair("not_home", survey.not_home)})
+    {
+        if (count > 0)
+            text.append(text.empty() ? "" : ",")
+                .append(reason)
+                .append(":")
+                .append(std::to_string(count));
+    }
+    return text_or_none(text);
+}
+
 std::string first_text(const open_request& request)
 {
     if (request.first == core::time_point())
@@ -44,11 +81,6 @@
     return reason;
 }
 
-std::string text_or_none(std::string_view text)
-{
-    return std::string(text.empty() ? "none" : text);
-}
-
 /// Key of a request whose attempts did not all end well, so that those of one
 /// caller can be found at all instances.
 std::string content_text(open_request& request)
@@ -97,6 +129,10 @@
 void request_log::refused(const open_request& request,
                           const core::direct::refusal_decision& decided)
 {
+    const core::direct::account_standing& standing = request.profile.standing;
+    context_.metrics.refused_accounts.add(
+        text_or_none(request.account_name),
+        std::string(to_string(decided.reason)));
     context_.log.write(
         direct_event::request_refused,
         {{"request", request.meta.attempt_id},
@@ -109,8 +145,18 @@
          {"promised", decided.is_promised ? "yes" : "no"},
          {"is_return", request.profile.is_return ? "yes" : "no"},
          {"prompt_tokens", ms_text(request.profile.prompt_tokens)},
-         {"owed_percent", percent_text(request.profile.standing.owed)},
-         {"fair_percent", percent_text(request.profile.standing.fair)},
+         {"owed_percent", percent_text(standing.owed)},
+         {"fair_percent", percent_text(standing.fair)},
+         {"asked_per_s", rate_text(standing.asked)},
+         {"served_per_s", rate_text(standing.served)},
+         {"owed_share_per_s", rate_text(standing.owed_share)},
+         {"fair_share_per_s", rate_text(standing.fair_share)},
+         {"news_ms",
+          standing.report_age ? ms_text(*standing.report_age) : "none"},
+         {"listed", std::to_string(decided.survey.listed)},
+         {"weighed", std::to_string(decided.survey.weighed)},
+         {"passed_over", passed_over_text(decided.survey)},
+         {"shortest_queue_ms", ms_text(decided.survey.shortest_queue_ms)},
          {"retry_after_ms", std::to_string(decided.retry_after.count())},
          {"left_ms", left_text(request)},
          {"config", std::to_string(request.config->version)}});
@@ -150,6 +196,8 @@
          {"predicted_ms", ms_text(decided.predicted_ms)},
          {"wait_ms", ms_text(decided.wait_ms)},
          {"prompt_tokens", ms_text(request.profile.prompt_tokens)},
+         {"owed_percent", percent_text(request.profile.standing.owed)},
+         {"fair_percent", percent_text(request.profile.standing.fair)},
          {"cached_tokens", ms_text(decided.cached_tokens)},
          {"slowdown_percent", percent_text(decided.slowdown)},
          {"reported_percent",
--- a/packages/adapters/lib/direct/traffic_metrics.cpp
+++ b/packages/adapters/lib/direct/traffic_metrics.cpp
@@ -59,6 +59,15 @@
            "Reports taken from other instances.", reports_received);
     labelled(out, "refused_total", "reason",
              "Answers of this instance's own, by reason.", refused);
+    family(out, "account_refused_total", "counter",
+           "Refused requests, by client account and reason.");
+    for (const auto& [account, reasons] : refused_accounts.counts())
+    {
+        for (const auto& [reason, count] : reasons)
+            sample(out, "account_refused_total",
+                   label("account", account) + "," + label("reason", reason),
+                   count);
+    }
     labelled(out, "retried_total", "reason",
              "Attempts repeated elsewhere, by how the attempt ended.", retried);
     labelled(out, "withheld_total", "reason",
--- a/packages/adapters/lib/prometheus_text.cpp
+++ b/packages/adapters/lib/prometheus_text.cpp
@@ -44,7 +44,19 @@
 
 std::string label(const std::string& name, const std::string& value)
 {
-    return name + "=\"" + value + '"';
+    std::string escaped;
+    for (const char each : value)
+    {
+        if (each == '\n')
+        {
+            escaped += "\\n";
+            continue;
+        }
+        if (each == '"' || each == '\\')
+            escaped += '\\';
+        escaped += each;
+    }
+    return name + "=\"" + escaped + '"';
 }
 
 } // namespace sycamorelock::adapters
--- a/packages/adapters/lib/prometheus_text.hpp
+++ b/packages/adapters/lib/prometheus_text.hpp
@@ -30,7 +30,7 @@
     sample(out, name, "", value);
 }
 
-/// `name="value"`
+/// `name="value"`, with the value escaped as the format asks.
 std::string label(const std::string& name, const std::string& value);
 
 } // namespace sycamorelock::adapters
--- a/packages/adapters/unittests/direct_test.cpp
+++ b/packages/adapters/unittests/direct_test.cpp
@@ -1,5 +1,6 @@
 // Events of a stream, and time limits.
 #include "sycamorelock/adapters/direct/event_stream.hpp"
+#include "sycamorelock/adapters/direct/traffic_metrics.hpp"
 #include "sycamorelock/adapters/direct/watchdog.hpp"
 
 #include <criterion/criterion.h>
@@ -66,3 +67,24 @@
     dog.tick(start + std::chrono::seconds(1));
     cr_expect_str_eq(seen.c_str(), "b");
 }
+
+// Guards against a metrics page that grows with the number of accounts, and
+// against names that break its lines.
+Test(direct_metrics, refusals_are_counted_by_a_bounded_number_of_accounts)
+{
+    direct_metrics metrics;
+    metrics.refused_accounts.add("a \"large\" one", "overloaded");
+    for (std::size_t i = 0; i < 2 * account_refusals::max_accounts; ++i)
+        metrics.refused_accounts.add(std::to_string(i), "beyond_share");
+    metrics.refused_accounts.add("0", "overloaded");
+    cr_expect_eq(metrics.refused_accounts.counts().size(),
+                 account_refusals::max_accounts + 1);
+    const std::string page = metrics.text();
+    for (const char* line :
+         {"account_refused_total{account=\"a \\\"large\\\" one\","
+          "reason=\"overloaded\"} 1\n",
+          "account_refused_total{account=\"0\",reason=\"overloaded\"} 1\n",
+          "account_refused_total{account=\"others\",reason=\"beyond_share\"} "
+          "65\n"})
+        cr_expect(page.find(line) != std::string::npos, "%s", line);
+}
--- a/packages/core/include/sycamorelock/core/direct/account_shares.hpp
+++ b/packages/core/include/sycamorelock/core/direct/account_shares.hpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace sycamorelock::core::direct
@@ -54,6 +55,14 @@
     /// Relative to the share of the throughput that the engines reach at
     /// present, which is at least the configured one.
     double fair = 0;
+    /// The figures behind the ratios, in tokens per second over the whole
+    /// fleet; shares are infinite if every demand can be met.
+    double asked = 0;
+    double served = 0;
+    double owed_share = 0;
+    double fair_share = 0;
+    /// Age of the newest report from other instances; empty without one.
+    std::optional<duration> report_age = {};
 };
 
 /// The largest share `s` such that the sum of min(demand, s) is at most the
@@ -115,6 +124,8 @@
         std::map<account_id, account_demand> demands;
     };
 
+    /// Age of the newest report from others; empty without one.
+    [[nodiscard]] std::optional<duration> report_age(time_point now) const;
     /// Recomputes the sums over the fleet and the shares.
     void refresh(time_point now, double throughput);
 
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -523,6 +523,12 @@
     usable_endpoints(time_point now, const request_profile& request,
                      const service& service_info,
                      const std::set<endpoint_id>& tried) const;
+    /// Explains which endpoints were compared for a request.
+    /// \param weighed number of endpoints that were compared.
+    [[nodiscard]] endpoint_survey
+    survey_endpoints(time_point now, const request_profile& request,
+                     service_id service, const std::set<endpoint_id>& tried,
+                     std::size_t weighed) const;
     [[nodiscard]] const service* find_service(service_id id) const;
 
     router_options options_;
--- a/packages/core/lib/direct/account_shares.cpp
+++ b/packages/core/lib/direct/account_shares.cpp
@@ -74,8 +74,26 @@
         return {};
     if (now - refreshed_at_ >= refresh_period)
         refresh(now, throughput);
-    const double served = fleet_[account].served;
-    return {served / owed_share_, served / fair_share_};
+    const account_demand& demand = fleet_[account];
+    account_standing result;
+    result.owed = demand.served / owed_share_;
+    result.fair = demand.served / fair_share_;
+    result.asked = demand.asked;
+    result.served = demand.served;
+    result.owed_share = owed_share_;
+    result.fair_share = fair_share_;
+    result.report_age = report_age(now);
+    return result;
+}
+
+std::optional<duration> account_shares::report_age(time_point now) const
+{
+    if (reports_.empty())
+        return std::nullopt;
+    const auto newest = std::max_element(reports_.begin(), reports_.end(),
+                                         [](const auto& a, const auto& b)
+                                         { return a.second.at < b.second.at; });
+    return now - newest->second.at;
 }
 
 void account_shares::record_sent(time_point now, account_id account,
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -54,6 +54,46 @@
     return homes;
 }
 
+endpoint_survey router::survey_endpoints(time_point now,
+                                         const request_profile& request,
+                                         service_id service,
+                                         const std::set<endpoint_id>& tried,
+                                         std::size_t weighed) const
+{
+    endpoint_survey result;
+    result.weighed = static_cast<unsigned>(weighed);
+    unsigned usable = 0;
+    double shortest_ms = std::numeric_limits<double>::infinity();
+    for (const endpoint_state* state : endpoints_of(service))
+    {
+        ++result.listed;
+        if (request.release && *request.release != state->release)
+            ++result.other_release;
+        else if (state->is_leaving())
+            ++result.leaving;
+        else if (state->is_drained)
+            ++result.drained;
+        else if (state->is_backing_off(now))
+            ++result.backing_off;
+        else if (state->health.is_ejected(now))
+            ++result.ejected;
+        else if (state->is_limited(now) &&
+                 !admits(now, *state, state->reserved_requests))
+            ++result.warming_up;
+        else if (tried.contains(state->id))
+            ++result.tried;
+        else
+        {
+            ++usable;
+            shortest_ms =
+                std::min(shortest_ms, ledger_.total(state->id).unread_ms);
+        }
+    }
+    result.not_home = usable - std::min(usable, result.weighed);
+    result.shortest_queue_ms = usable == 0 ? 0 : shortest_ms;
+    return result;
+}
+
 void router::add_domain_homes(std::uint64_t key,
                               const std::vector<const endpoint_state*>& usable,
                               std::vector<const endpoint_state*>& homes) const
@@ -307,10 +347,17 @@
     ledger_.advance(now);
     const evaluation_context context =
         make_context(now, request, *service_info);
-    std::optional<placement_candidate> best = choose_endpoint(
-        context, usable_endpoints(now, request, *service_info, tried));
+    const std::vector<const endpoint_state*> usable =
+        usable_endpoints(now, request, *service_info, tried);
+    std::optional<placement_candidate> best = choose_endpoint(context, usable);
     if (!best)
-        return refuse_without_endpoint(now, request, target_service);
+    {
+        refusal_decision refused =
+            refuse_without_endpoint(now, request, target_service);
+        refused.survey =
+            survey_endpoints(now, request, target_service, tried, 0);
+        return refused;
+    }
     const double service_ms =
         best->prefill_ms + context.figures.first_ms * best->slowdown;
     if (!repeated && conditions.by_objective)
@@ -330,6 +377,8 @@
         refusal_decision refused =
             make_refusals().refuse_for_load(*reason, best->wait_ms, allowed_ms);
         refused.predicted_ms = best->wait_ms + service_ms;
+        refused.survey = survey_endpoints(now, request, target_service, tried,
+                                          usable.size());
         if (promises_returns(target_service) && service_info->is_engine())
             schedule_return(now, request, target_service, refused, service_ms);
         return refused;
--- a/packages/core/unittests/direct_router_test.cpp
+++ b/packages/core/unittests/direct_router_test.cpp
@@ -201,3 +201,43 @@
     learned.report_learned_figures();
     cr_expect_not(learned.places_request(start));
 }
+
+// Guards against refusals that do not tell which endpoints were compared: a
+// full place and a full pool looked alike.
+Test(direct_router, a_refusal_tells_what_was_compared_and_the_shares_in_force)
+{
+    fixture fix;
+    fix.list({"one", "two", "three"});
+    fix.tested_router.note_leaving(start, engine_record("one"));
+    fix.report_consumption(8000, 6000);
+    exchange_report busy;
+    busy.sender = "busy";
+    endpoint_work work;
+    work.endpoint = endpoint_id::of("two");
+    work.unread_ms = 5000;
+    work.waiting = 2;
+    busy.work.push_back(work);
+    work.endpoint = endpoint_id::of("three");
+    work.unread_ms = 6000;
+    busy.work.push_back(work);
+    fix.tested_router.on_report(start, busy);
+    const request_profile request =
+        fix.admit_request(modest, start + milliseconds(200));
+    cr_expect_float_eq(request.standing.served, 6000, 1);
+    cr_expect_float_eq(request.standing.owed_share, 5000, 1);
+    cr_expect_float_eq(request.standing.fair_share, 7000, 1);
+    cr_expect_eq(request.standing.report_age, milliseconds(200));
+    const routing_decision decision =
+        fix.decide(request, start + milliseconds(200));
+    cr_assert_not(is_placed(decision));
+    const endpoint_survey survey = std::get<refusal_decision>(decision).survey;
+    cr_expect_eq(survey.listed, 3U);
+    cr_expect_eq(survey.leaving, 1U);
+    cr_expect_eq(survey.weighed, 2U);
+    cr_expect_eq(survey.not_home, 0U);
+    cr_expect_float_eq(
+        survey.shortest_queue_ms,
+        fix.tested_router.ledger().total(endpoint_id::of("two")).unread_ms,
+        1e-9);
+    cr_expect_gt(survey.shortest_queue_ms, 0);
+}
