--- a/packages/core/include/sycamorelock/core/direct/account_shares.hpp
+++ b/packages/core/include/sycamorelock/core/direct/account_shares.hpp
@@ -55,12 +55,16 @@
     /// Relative to the share of the throughput that the engines reach at
     /// present, which is at least the configured one.
     double fair = 0;
+    /// Whether the account is served far less than it is due: less than others
+    /// with the same demand, whatever operators grant it.
+    bool is_short = false;
     /// The figures behind the ratios, in tokens per second over the whole
     /// fleet; shares are infinite if every demand can be met.
     double asked = 0;
     double served = 0;
     double owed_share = 0;
     double fair_share = 0;
+    double present_share = 0;
     /// Age of the newest report from other instances; empty without one.
     std::optional<duration> report_age = {};
 };
@@ -89,6 +93,12 @@
     /// Records that a request was sent to an endpoint.
     void record_sent(time_point now, account_id account, double tokens);
 
+    /// Records that a request ended before its first token: its account was
+    /// not served.
+    /// \param sent time at which it was recorded as sent.
+    void retract_sent(time_point now, account_id account, double tokens,
+                      time_point sent);
+
     /// Records that a caller of the account was promised room at its return.
     void record_promise(time_point now, account_id account);
     /// Redeems a promise to the account that was made this long ago, by any
@@ -137,6 +147,8 @@
     /// second.
     double owed_share_ = 0;
     double fair_share_ = 0;
+    /// Share of the tokens that all accounts are served.
+    double present_share_ = 0;
     time_point refreshed_at_;
 };
 
--- a/packages/core/include/sycamorelock/core/direct/rate_meter.hpp
+++ b/packages/core/include/sycamorelock/core/direct/rate_meter.hpp
@@ -15,6 +15,9 @@
     static constexpr duration time_constant = std::chrono::milliseconds(1500);
 
     void add(time_point now, double amount);
+    /// Takes back what is left of an amount that was added before. The rate
+    /// does not fall below 0.
+    void subtract(time_point now, double amount);
     /// Amount per second.
     [[nodiscard]] double rate_at(time_point now) const;
 
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -78,6 +78,9 @@
     bool reserved = false;
     /// Whether the attempt probes an endpoint during a long back-off.
     bool is_probe = false;
+    /// Account that counts as served with these tokens; empty if none does.
+    std::optional<account_id> account;
+    double share_tokens = 0;
 };
 
 using routing_decision = std::variant<placement_decision, refusal_decision>;
@@ -523,6 +526,12 @@
     usable_endpoints(time_point now, const request_profile& request,
                      const service& service_info,
                      const std::set<endpoint_id>& tried) const;
+    /// Those of the usable endpoints at which the request is placed as a rule:
+    /// in a large fleet the homes of its shared prefix.
+    [[nodiscard]] std::vector<const endpoint_state*>
+    home_endpoints(time_point now, const request_profile& request,
+                   const service& service_info,
+                   const std::vector<const endpoint_state*>& usable) const;
     /// Explains which endpoints were compared for a request.
     /// \param weighed number of endpoints that were compared.
     [[nodiscard]] endpoint_survey
--- a/packages/core/lib/direct/account_shares.cpp
+++ b/packages/core/lib/direct/account_shares.cpp
@@ -16,6 +16,16 @@
 /// Age at which a report is removed: less than a thousandth of its rates is
 /// left after the decay.
 constexpr duration max_report_age = 7 * rate_meter::time_constant;
+/// An account that is served less than the first part of what it asks for, and
+/// than the second part of the share of the tokens that all accounts are
+/// served, falls short. The best served account gets up to
+/// `uniform_admission::far_beyond_share_ratio` of the share, and each is due
+/// half of that or of what it asks for; the first part has a margin for the
+/// time until averages follow.
+constexpr double part_of_demand = 0.6;
+constexpr double part_of_share = 0.75;
+/// Number of requests that an account may lack in the time of the average.
+constexpr double tolerated_requests = 1;
 
 } // namespace
 
@@ -62,6 +72,7 @@
         served += demand.served;
     }
     fair_share_ = max_min_share(std::max(throughput, served), asked);
+    present_share_ = max_min_share(served, asked);
     owed_share_ = max_min_share(throughput, std::move(asked));
 }
 
@@ -72,16 +83,21 @@
     own_[account].asked.add(now, tokens);
     if (throughput <= 0)
         return {};
+    const double one = rate_meter::rate_increment(tokens);
     if (now - refreshed_at_ >= refresh_period)
         refresh(now, throughput);
     const account_demand& demand = fleet_[account];
     account_standing result;
     result.owed = demand.served / owed_share_;
     result.fair = demand.served / fair_share_;
+    const double due = std::min(part_of_demand * (demand.asked - one),
+                                part_of_share * present_share_);
+    result.is_short = demand.served + tolerated_requests * one < due;
     result.asked = demand.asked;
     result.served = demand.served;
     result.owed_share = owed_share_;
     result.fair_share = fair_share_;
+    result.present_share = present_share_;
     result.report_age = report_age(now);
     return result;
 }
@@ -102,7 +118,19 @@
     own_[account].served.add(now, tokens);
     // The account's next request through this instance sees the tokens without
     // a recomputation.
-    fleet_[account].served += rate_meter::rate_increment(tokens);
+    const double rate = rate_meter::rate_increment(tokens);
+    fleet_[account].served += rate;
+    // At most this much belongs to the share of the account.
+    present_share_ += rate;
+}
+
+void account_shares::retract_sent(time_point now, account_id account,
+                                  double tokens, time_point sent)
+{
+    const double left = tokens * rate_meter::decay_factor(now - sent);
+    own_[account].served.subtract(now, left);
+    double& served = fleet_[account].served;
+    served = std::max(0.0, served - rate_meter::rate_increment(left));
 }
 
 void account_shares::record_promise(time_point now, account_id account)
--- a/packages/core/lib/direct/rate_meter.cpp
+++ b/packages/core/lib/direct/rate_meter.cpp
@@ -28,6 +28,12 @@
     at_ = now;
 }
 
+void rate_meter::subtract(time_point now, double amount)
+{
+    rate_ = std::max(0.0, rate_at(now) - rate_increment(amount));
+    at_ = now;
+}
+
 double rate_meter::decay_factor(duration age)
 {
     return std::exp(-std::max(0.0, seconds(age)) / seconds(time_constant));
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -390,8 +390,12 @@
                         (placement.request_load.unread_ms > urgent_prefill_ms &&
                          uses(mechanism::urgent_reports));
     if (request.account && !request.parts.empty())
-        account_shares_.record_sent(now, *request.account,
-                                    request.share_tokens());
+    {
+        placement.account = request.account;
+        placement.share_tokens = request.share_tokens();
+        account_shares_.record_sent(now, *placement.account,
+                                    placement.share_tokens);
+    }
     const service* service_info = find_service(placement.endpoint.service);
     if (service_info == nullptr || !service_info->is_engine() ||
         request.parts.empty())
@@ -493,6 +497,9 @@
 void router::finished(time_point now, placement_decision& placement,
                       attempt_outcome outcome)
 {
+    if (placement.account && !placement.request_load.has_first_token)
+        account_shares_.retract_sent(now, *placement.account,
+                                     placement.share_tokens, placement.sent);
     ledger_.close(placement.request_load);
     const auto found = endpoints_.find(placement.request_load.endpoint);
     if (found == endpoints_.end())
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -42,15 +42,23 @@
         if (accepts_requests && (tried.empty() || !tried.contains(state->id)))
             result.push_back(state);
     }
+    return result;
+}
+
+std::vector<const endpoint_state*>
+router::home_endpoints(time_point now, const request_profile& request,
+                       const service& service_info,
+                       const std::vector<const endpoint_state*>& usable) const
+{
     if (!large_fleet_ || !service_info.is_engine() ||
         request.parts.size() < 2 || !uses(mechanism::prompt_homes))
-        return result;
+        return usable;
     const std::uint64_t key = shared_key(request.parts);
-    std::vector<const endpoint_state*> homes = result;
+    std::vector<const endpoint_state*> homes = usable;
     keep_highest_ranked(key, homes, prompt_homes_.count(now, key),
                         [](const endpoint_state* state) { return state->id; });
     if (prices_domains(service_info.id) && uses(mechanism::domain_homes))
-        add_domain_homes(key, result, homes);
+        add_domain_homes(key, usable, homes);
     return homes;
 }
 
@@ -253,7 +261,7 @@
                               uses(mechanism::objective_admission) &&
                               predicts_single_requests(service_info.id);
     return {service_info, by_objective, plain_work_ms(service_info.id),
-            error_factor(service_info.id)};
+            error_factor(service_info.id), false};
 }
 
 double router::error_factor(service_id service) const
@@ -334,7 +342,7 @@
     if (service_info == nullptr)
         return refuse_without_endpoint(now, request, target_service);
     const admission_control admission = make_admission();
-    const admission_control::service_conditions conditions =
+    admission_control::service_conditions conditions =
         admission_conditions(*service_info);
     double allowed_ms =
         repeated ? std::numeric_limits<double>::infinity()
@@ -349,7 +357,9 @@
         make_context(now, request, *service_info);
     const std::vector<const endpoint_state*> usable =
         usable_endpoints(now, request, *service_info, tried);
-    std::optional<placement_candidate> best = choose_endpoint(context, usable);
+    const std::vector<const endpoint_state*> homes =
+        home_endpoints(now, request, *service_info, usable);
+    std::optional<placement_candidate> best = choose_endpoint(context, homes);
     if (!best)
     {
         refusal_decision refused =
@@ -358,9 +368,17 @@
             survey_endpoints(now, request, target_service, tried, 0);
         return refused;
     }
+    // A refusal for the place alone would leave the account short.
+    conditions.catches_up =
+        best->wait_ms > allowed_ms && homes.size() < usable.size() &&
+        request.standing.is_short && uses(mechanism::short_accounts);
+    if (conditions.catches_up)
+        best = choose_endpoint(context, usable);
+    const std::size_t weighed =
+        conditions.catches_up ? usable.size() : homes.size();
     const double service_ms =
         best->prefill_ms + context.figures.first_ms * best->slowdown;
-    if (!repeated && conditions.by_objective)
+    if (!repeated && (conditions.by_objective || conditions.catches_up))
         allowed_ms =
             admission.max_wait_ms(now, request, conditions, service_ms);
     // The request is refused rather than sent to an engine with a shorter wait
@@ -377,8 +395,8 @@
         refusal_decision refused =
             make_refusals().refuse_for_load(*reason, best->wait_ms, allowed_ms);
         refused.predicted_ms = best->wait_ms + service_ms;
-        refused.survey = survey_endpoints(now, request, target_service, tried,
-                                          usable.size());
+        refused.survey =
+            survey_endpoints(now, request, target_service, tried, weighed);
         if (promises_returns(target_service) && service_info->is_engine())
             schedule_return(now, request, target_service, refused, service_ms);
         return refused;
--- a/packages/core/unittests/direct_router_test.cpp
+++ b/packages/core/unittests/direct_router_test.cpp
@@ -3,6 +3,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace sycamorelock::core;
 using namespace sycamorelock::core::direct;
 
@@ -241,3 +243,101 @@
         1e-9);
     cr_expect_gt(survey.shortest_queue_ms, 0);
 }
+
+namespace
+{
+
+/// A large fleet with twelve engines, of which those that keep the prompt are
+/// full.
+struct full_homes : fixture
+{
+    std::vector<std::string> names;
+    request_profile request;
+
+    explicit full_homes(const mechanism_set& mechanisms = {})
+    {
+        tested_router = router(options_with(mechanisms));
+        tested_router.install(start, config);
+        tested_router.set_fleet_size(40);
+        for (int i = 0; i < 12; ++i)
+            names.push_back("engine-" + std::to_string(i));
+        list(names);
+        request = make_profile({{1, 1000}, {2, 100}});
+        const std::uint64_t key = shared_key(request.parts);
+        std::sort(names.begin(), names.end(),
+                  [key](const std::string& a, const std::string& b)
+                  {
+                      return rank_of(key, endpoint_id::of(a)) >
+                             rank_of(key, endpoint_id::of(b));
+                  });
+        exchange_report report;
+        report.sender = "busy";
+        for (std::size_t i = 0; i < prompt_homes::min_homes; ++i)
+        {
+            endpoint_work work;
+            work.endpoint = endpoint_id::of(names.at(i));
+            work.unread_ms = 5000;
+            work.waiting = 2;
+            report.work.push_back(work);
+        }
+        tested_router.on_report(start, report);
+    }
+
+    routing_decision decide_for(account_id account, double asked, double served)
+    {
+        exchange_report report;
+        report.sender = "other";
+        report.demands = {{greedy, 80000, 60000}, {account, asked, served}};
+        tested_router.on_report(start, report);
+        request.account = account;
+        tested_router.admit(start, request);
+        return tested_router.decide(start, request, drafts, {}, false);
+    }
+};
+
+} // namespace
+
+// Guards against an account that gets far less than its share because the
+// engines that keep its prompts are full, while others are idle.
+Test(direct_router, a_request_of_a_short_account_leaves_full_homes)
+{
+    full_homes fix;
+    const routing_decision decision = fix.decide_for(modest, 20000, 5000);
+    cr_assert(is_placed(decision));
+    const std::string& chosen =
+        std::get<placement_decision>(decision).endpoint.boot;
+    cr_expect_geq(std::find(fix.names.begin(), fix.names.end(), chosen) -
+                      fix.names.begin(),
+                  static_cast<std::ptrdiff_t>(prompt_homes::min_homes));
+}
+
+// An account that gets most of what it asks for is not short: its requests
+// would cost others a prefill.
+Test(direct_router, a_request_of_a_served_account_stays_at_full_homes)
+{
+    full_homes fix;
+    const routing_decision decision = fix.decide_for(modest, 20000, 15000);
+    cr_assert_not(is_placed(decision));
+    cr_expect_eq(std::get<refusal_decision>(decision).survey.not_home, 9U);
+}
+
+Test(direct_router, without_short_accounts_full_homes_refuse)
+{
+    mechanism_set mechanisms;
+    mechanisms.switch_off(mechanism::short_accounts);
+    full_homes fix(mechanisms);
+    cr_expect_not(is_placed(fix.decide_for(modest, 20000, 5000)));
+}
+
+// Guards against accounts that count as served by requests that endpoints lost.
+Test(direct_router, a_request_that_never_began_does_not_count_as_served)
+{
+    fixture fix;
+    request_profile request = fix.admit_request(modest);
+    auto placed = std::get<placement_decision>(fix.decide(request));
+    fix.tested_router.sent(start, request, placed);
+    const double served = fix.admit_request(modest).standing.served;
+    cr_expect_gt(served, 0);
+    fix.tested_router.finished(start, placed, attempt_outcome::failed);
+    cr_expect_float_eq(fix.admit_request(modest).standing.served, 0, 1e-6);
+}
--- a/test/model/fleet_simulation.cpp
+++ b/test/model/fleet_simulation.cpp
@@ -323,8 +323,9 @@
             1 / type.mean_unique_tokens);
         const double unique_tokens = 50 + unique_length(generator_);
         const std::uint64_t id = next_id_++;
-        std::uint64_t key =
-            direct::extend_key(0, type.name + '/' + std::to_string(prefix));
+        const std::string owner = type.has_own_prefixes ? request.account : "";
+        std::uint64_t key = direct::extend_key(0, type.name + '/' + owner +
+                                                      std::to_string(prefix));
         if (type.describes_prompt)
         {
             request.profile.parts = {{key, type.shared_tokens}};
@@ -343,6 +344,7 @@
         request.output_tokens = type.output_tokens;
         ++type_counts_[request.type].offered_requests;
         ++account_counts_[request.account].offered_requests;
+        seconds_.note_asked(now_ms_, request.account, request.tokens);
         send_attempt(std::move(request));
     }
 }
@@ -366,6 +368,7 @@
         router.decide(now, request.profile, engine_service, {}, false);
     if (const auto* refused = std::get_if<direct::refusal_decision>(&decided))
     {
+        seconds_.note_unmet(now_ms_, request.account);
         if (!request.has_returned &&
             plan_.after_refusal != caller_behaviour::gives_up)
         {
@@ -571,6 +574,9 @@
     ++(account_counts_[request.account].*counter);
     ++(domain_counts_[domain_of(request.router)].requests.*counter);
     served_tokens_[request.account] += request.tokens;
+    seconds_.note_served(at_ms, request.account, request.tokens);
+    if (!on_time)
+        seconds_.note_unmet(at_ms, request.account);
 }
 
 void fleet_simulation::on_completed(std::uint64_t id, double at_ms)
--- a/test/model/fleet_simulation.hpp
+++ b/test/model/fleet_simulation.hpp
@@ -3,6 +3,7 @@
 // decisions under load patterns.
 #pragma once
 
+#include "account_seconds.hpp"
 #include "engine_model.hpp"
 #include "returning_callers.hpp"
 
@@ -45,6 +46,8 @@
     /// Sizes of the request's body and of the whole answer.
     double body_bytes = 0;
     double answer_bytes = 0;
+    /// Whether accounts have prefixes of their own instead of common ones.
+    bool has_own_prefixes = false;
 };
 
 /// Traffic of a client account.
@@ -180,6 +183,8 @@
     }
     [[nodiscard]] const request_counts&
     counts_of_account(const std::string& name) const;
+    /// What accounts asked for and got in each second since the start.
+    [[nodiscard]] const account_seconds& seconds() const { return seconds_; }
     /// Tokens of the account's requests that got a first token: prompt tokens
     /// count once, generated tokens twice.
     [[nodiscard]] double served_tokens(const std::string& account) const;
@@ -300,6 +305,7 @@
     std::map<std::string, request_counts> type_counts_;
     std::map<std::string, request_counts> account_counts_;
     std::map<std::string, double> served_tokens_;
+    account_seconds seconds_;
     std::vector<unsigned> sent_to_engine_;
     std::vector<double> domain_factors_;
     std::vector<domain_counts> domain_counts_;
