--- a/packages/core/include/sycamorelock/core/direct/account_shares.hpp
+++ b/packages/core/include/sycamorelock/core/direct/account_shares.hpp
@@ -93,8 +93,8 @@
     /// Records that a request was sent to an endpoint.
     void record_sent(time_point now, account_id account, double tokens);
 
-    /// Records that a request ended before its first token: its account was
-    /// not served.
+    /// Records that a request that was sent has been lost before its first
+    /// token: its account was not served.
     /// \param sent time at which it was recorded as sent.
     void retract_sent(time_point now, account_id account, double tokens,
                       time_point sent);
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -497,7 +497,11 @@
 void router::finished(time_point now, placement_decision& placement,
                       attempt_outcome outcome)
 {
-    if (placement.account && !placement.request_load.has_first_token)
+    // A caller that leaves has had the work of the engine.
+    const bool was_lost = outcome != attempt_outcome::succeeded &&
+                          outcome != attempt_outcome::abandoned &&
+                          !placement.request_load.has_first_token;
+    if (placement.account && was_lost)
         account_shares_.retract_sent(now, *placement.account,
                                      placement.share_tokens, placement.sent);
     ledger_.close(placement.request_load);
