--- a/packages/adapters/lib/direct/control_plane.cpp
+++ b/packages/adapters/lib/direct/control_plane.cpp
@@ -293,7 +293,8 @@
     switch (report.part)
     {
     case report_part::own:
-        if (peers_.is_newest(report) && config_knowledge_.covers(report))
+        if (peers_.is_newest(report) &&
+            config_knowledge_.has_version_of(report))
             knowledge_.confirm(at, report.store);
         traffic_.on_report(std::move(report));
         break;
@@ -311,7 +312,7 @@
         use_slowdowns(std::move(report.slowdowns));
         break;
     case report_part::domain:
-        if (config_knowledge_.covers(report))
+        if (config_knowledge_.has_version_of(report))
             knowledge_.confirm(at, report.store);
         domain_figures_ = std::move(report.figures);
         tree_.on_domain(at, std::to_string(report.domain.value()),
--- a/packages/adapters/lib/direct/request_log.cpp
+++ b/packages/adapters/lib/direct/request_log.cpp
@@ -6,7 +6,6 @@
 #include "sycamorelock/adapters/clocks.hpp"
 
 #include <cmath>
-#include <utility>
 
 namespace sycamorelock::adapters::direct
 {
@@ -43,25 +42,18 @@
     return std::isfinite(per_second) ? ms_text(per_second) : "none";
 }
 
-/// Counts of the endpoints that were passed over, "reason:count" each.
-std::string passed_over_text(const core::direct::endpoint_survey& survey)
+/// Counts of the endpoints that were not compared, "reason:count" each.
+std::string excluded_text(const core::direct::endpoint_survey& survey)
 {
     std::string text;
-    for (const auto& [reason, count] :
-         {std::pair("other_release", survey.other_release),
-          std::pair("leaving", survey.leaving),
-          std::pair("drained", survey.drained),
-          std::pair("resting", survey.backing_off),
-          std::pair("ejected", survey.ejected),
-          std::pair("warming_up", survey.warming_up),
-          std::pair("tried", survey.tried),
-          std::pair("not_home", survey.not_home)})
+    for (const core::direct::exclusion reason : core::direct::all_exclusions)
     {
-        if (count > 0)
-            text.append(text.empty() ? "" : ",")
-                .append(reason)
-                .append(":")
-                .append(std::to_string(count));
+        if (survey.excluded(reason) == 0)
+            continue;
+        text.append(text.empty() ? "" : ",")
+            .append(to_string(reason))
+            .append(":")
+            .append(std::to_string(survey.excluded(reason)));
     }
     return text_or_none(text);
 }
@@ -152,12 +144,12 @@
          {"owed_share_per_s", rate_text(standing.owed_share)},
          {"fair_share_per_s", rate_text(standing.fair_share)},
          {"present_share_per_s", rate_text(standing.present_share)},
-         {"short", standing.is_short ? "yes" : "no"},
+         {"underserved", standing.is_underserved ? "yes" : "no"},
          {"news_ms",
           standing.report_age ? ms_text(*standing.report_age) : "none"},
          {"listed", std::to_string(decided.survey.listed)},
-         {"weighed", std::to_string(decided.survey.weighed)},
-         {"passed_over", passed_over_text(decided.survey)},
+         {"compared", std::to_string(decided.survey.compared)},
+         {"excluded", excluded_text(decided.survey)},
          {"shortest_queue_ms", ms_text(decided.survey.shortest_queue_ms)},
          {"retry_after_ms", std::to_string(decided.retry_after.count())},
          {"left_ms", left_text(request)},
@@ -200,7 +192,8 @@
          {"prompt_tokens", ms_text(request.profile.prompt_tokens)},
          {"owed_percent", percent_text(request.profile.standing.owed)},
          {"fair_percent", percent_text(request.profile.standing.fair)},
-         {"short", request.profile.standing.is_short ? "yes" : "no"},
+         {"underserved",
+          request.profile.standing.is_underserved ? "yes" : "no"},
          {"cached_tokens", ms_text(decided.cached_tokens)},
          {"slowdown_percent", percent_text(decided.slowdown)},
          {"reported_percent",
--- a/packages/adapters/unittests/direct_test.cpp
+++ b/packages/adapters/unittests/direct_test.cpp
@@ -68,8 +68,7 @@
     cr_expect_str_eq(seen.c_str(), "b");
 }
 
-// Guards against a metrics page that grows with the number of accounts, and
-// against names that break its lines.
+// Guards against a metrics page that grows with accounts or breaks at a name.
 Test(direct_metrics, refusals_are_counted_by_a_bounded_number_of_accounts)
 {
     direct_metrics metrics;
--- a/packages/core/include/sycamorelock/core/direct/account_shares.hpp
+++ b/packages/core/include/sycamorelock/core/direct/account_shares.hpp
@@ -55,9 +55,9 @@
     /// Relative to the share of the throughput that the engines reach at
     /// present, which is at least the configured one.
     double fair = 0;
-    /// Whether the account is served far less than it is due: less than others
-    /// with the same demand, whatever operators grant it.
-    bool is_short = false;
+    /// Whether the account gets far less than its max-min share of the tokens
+    /// that all accounts are served, although it asks for more.
+    bool is_underserved = false;
     /// The figures behind the ratios, in tokens per second over the whole
     /// fleet; shares are infinite if every demand can be met.
     double asked = 0;
@@ -93,11 +93,11 @@
     /// Records that a request was sent to an endpoint.
     void record_sent(time_point now, account_id account, double tokens);
 
-    /// Records that a request that was sent has been lost before its first
-    /// token: its account was not served.
-    /// \param sent time at which it was recorded as sent.
-    void retract_sent(time_point now, account_id account, double tokens,
-                      time_point sent);
+    /// Records that an endpoint lost a request before its first token, so that
+    /// its account was not served.
+    /// \param sent time at which the request was recorded as sent.
+    void record_lost(time_point now, account_id account, double tokens,
+                     time_point sent);
 
     /// Records that a caller of the account was promised room at its return.
     void record_promise(time_point now, account_id account);
--- a/packages/core/include/sycamorelock/core/direct/admission_control.hpp
+++ b/packages/core/include/sycamorelock/core/direct/admission_control.hpp
@@ -31,9 +31,9 @@
         /// Factor by which observed times to the first token exceed predicted
         /// ones.
         double error_factor = 1;
-        /// Whether the account falls short, so that it is not held back by the
-        /// shares of others.
-        bool catches_up = false;
+        /// Whether the account is underserved, so that its consumption is not
+        /// compared with its share.
+        bool is_underserved = false;
     };
     /// Predicted wait at the endpoint that was chosen.
     struct predicted_wait
--- a/packages/core/include/sycamorelock/core/direct/config_knowledge.hpp
+++ b/packages/core/include/sycamorelock/core/direct/config_knowledge.hpp
@@ -43,7 +43,7 @@
 
     /// Whether this instance has every version that the sender of a report has.
     /// Otherwise the sender cannot confirm that what is known here is current.
-    [[nodiscard]] bool covers(const exchange_report& report) const
+    [[nodiscard]] bool has_version_of(const exchange_report& report) const
     {
         return report.config_version <= version_;
     }
--- a/packages/core/include/sycamorelock/core/direct/mechanism.hpp
+++ b/packages/core/include/sycamorelock/core/direct/mechanism.hpp
@@ -31,10 +31,9 @@
     /// Client accounts that exceed their fair share by far are refused before
     /// endpoints are compared.
     far_beyond,
-    /// In a large fleet, if the engines that keep a prompt are full, a request
-    /// of a client account that gets far less than it is due may be placed at
-    /// any other engine.
-    short_accounts,
+    /// In a large fleet, a request of an underserved client account is compared
+    /// with all engines if the homes of its prompt are full.
+    underserved_accounts,
     /// In a large fleet, each shared prompt prefix is limited to a few engines.
     prompt_homes,
     /// A placement's cost counts prefill time at more than the delay that it
@@ -87,7 +86,7 @@
     mechanism_name{mechanism::urgent_reports, "urgent_reports"},
     mechanism_name{mechanism::fair_shares, "fair_shares"},
     mechanism_name{mechanism::far_beyond, "far_beyond"},
-    mechanism_name{mechanism::short_accounts, "short_accounts"},
+    mechanism_name{mechanism::underserved_accounts, "underserved_accounts"},
     mechanism_name{mechanism::prompt_homes, "prompt_homes"},
     mechanism_name{mechanism::reread_price, "reread_price"},
     mechanism_name{mechanism::engine_speed, "engine_speed"},
--- a/packages/core/include/sycamorelock/core/direct/refusal.hpp
+++ b/packages/core/include/sycamorelock/core/direct/refusal.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "sycamorelock/core/direct/catalogue.hpp"
+#include "sycamorelock/core/direct/endpoint_survey.hpp"
 
 #include <cstdint>
 #include <string_view>
@@ -43,30 +44,6 @@
 };
 std::string_view to_string(refusal reason);
 
-/// The endpoints that a decision considered for a request, and why it passed
-/// over the others. Each endpoint counts once, by the first reason that applies
-/// in the order of the members.
-struct endpoint_survey
-{
-    /// All endpoints of the service.
-    unsigned listed = 0;
-    unsigned other_release = 0;
-    unsigned leaving = 0;
-    unsigned drained = 0;
-    unsigned backing_off = 0;
-    /// Not used for some time, since requests to them failed.
-    unsigned ejected = 0;
-    unsigned warming_up = 0;
-    unsigned tried = 0;
-    /// Usable, but no home of the shared prefix.
-    unsigned not_home = 0;
-    /// Compared by their cost.
-    unsigned weighed = 0;
-    /// Shortest prefill queue, in ms, of all endpoints that are usable, whether
-    /// they were compared or not.
-    double shortest_queue_ms = 0;
-};
-
 /// A refusal and the predictions behind it.
 struct refusal_decision
 {
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -532,12 +532,17 @@
     home_endpoints(time_point now, const request_profile& request,
                    const service& service_info,
                    const std::vector<const endpoint_state*>& usable) const;
-    /// Explains which endpoints were compared for a request.
-    /// \param weighed number of endpoints that were compared.
+    /// Why the endpoint may not receive the request now; empty if it may.
+    [[nodiscard]] std::optional<exclusion>
+    exclusion_of(time_point now, const request_profile& request,
+                 const std::set<endpoint_id>& tried,
+                 const endpoint_state& endpoint) const;
+    /// Counts the service's endpoints for the explanation of a refusal.
+    /// \param compared number of the usable endpoints that were compared.
     [[nodiscard]] endpoint_survey
     survey_endpoints(time_point now, const request_profile& request,
                      service_id service, const std::set<endpoint_id>& tried,
-                     std::size_t weighed) const;
+                     endpoint_list usable, std::size_t compared) const;
     [[nodiscard]] const service* find_service(service_id id) const;
 
     router_options options_;
--- a/packages/core/lib/direct/account_shares.cpp
+++ b/packages/core/lib/direct/account_shares.cpp
@@ -16,15 +16,17 @@
 /// Age at which a report is removed: less than a thousandth of its rates is
 /// left after the decay.
 constexpr duration max_report_age = 7 * rate_meter::time_constant;
-/// An account that is served less than the first part of what it asks for, and
-/// than the second part of the share of the tokens that all accounts are
-/// served, falls short. The best served account gets up to
-/// `uniform_admission::far_beyond_share_ratio` of the share, and each is due
-/// half of that or of what it asks for; the first part has a margin for the
-/// time until averages follow.
+/// An account is underserved below both of these parts: of what it asks for,
+/// and of the share of the tokens that all accounts are served. Callers are
+/// promised half of what they ask for or of what the best served account gets,
+/// whichever is less, over a few seconds. The best one gets up to
+/// `uniform_admission::far_beyond_share_ratio` of the share, so half of that is
+/// three quarters. The other half has a margin, since the averages lag by their
+/// time constant.
 constexpr double part_of_demand = 0.6;
 constexpr double part_of_share = 0.75;
-/// Number of requests that an account may lack in the time of the average.
+/// A single refusal does not make an account underserved: its callers miss no
+/// more than this number of requests in the time constant of the averages.
 constexpr double tolerated_requests = 1;
 
 } // namespace
@@ -92,7 +94,7 @@
     result.fair = demand.served / fair_share_;
     const double due = std::min(part_of_demand * (demand.asked - one),
                                 part_of_share * present_share_);
-    result.is_short = demand.served + tolerated_requests * one < due;
+    result.is_underserved = demand.served + tolerated_requests * one < due;
     result.asked = demand.asked;
     result.served = demand.served;
     result.owed_share = owed_share_;
@@ -124,8 +126,8 @@
     present_share_ += rate;
 }
 
-void account_shares::retract_sent(time_point now, account_id account,
-                                  double tokens, time_point sent)
+void account_shares::record_lost(time_point now, account_id account,
+                                 double tokens, time_point sent)
 {
     const double left = tokens * rate_meter::decay_factor(now - sent);
     own_[account].served.subtract(now, left);
--- a/packages/core/lib/direct/admission_control.cpp
+++ b/packages/core/lib/direct/admission_control.cpp
@@ -36,7 +36,7 @@
     query.tightest_objective_ms =
         to_ms(config_.tightest_objective(service_info.id));
     query.time_left_ms = time_left_ms;
-    if (!conditions.catches_up)
+    if (!conditions.is_underserved)
         query.standing = request.standing;
     query.urgency = request.urgency;
     if (conditions.by_objective)
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -501,9 +501,10 @@
     const bool was_lost = outcome != attempt_outcome::succeeded &&
                           outcome != attempt_outcome::abandoned &&
                           !placement.request_load.has_first_token;
-    if (placement.account && was_lost)
-        account_shares_.retract_sent(now, *placement.account,
-                                     placement.share_tokens, placement.sent);
+    if (was_lost && placement.account && large_fleet_ &&
+        uses(mechanism::underserved_accounts))
+        account_shares_.record_lost(now, *placement.account,
+                                    placement.share_tokens, placement.sent);
     ledger_.close(placement.request_load);
     const auto found = endpoints_.find(placement.request_load.endpoint);
     if (found == endpoints_.end())
--- a/packages/core/lib/direct/router_decision.cpp
+++ b/packages/core/lib/direct/router_decision.cpp
@@ -23,6 +23,29 @@
 
 } // namespace
 
+std::optional<exclusion>
+router::exclusion_of(time_point now, const request_profile& request,
+                     const std::set<endpoint_id>& tried,
+                     const endpoint_state& endpoint) const
+{
+    if (request.release && *request.release != endpoint.release)
+        return exclusion::other_release;
+    if (endpoint.is_leaving())
+        return exclusion::leaving;
+    if (endpoint.is_drained)
+        return exclusion::drained;
+    if (endpoint.is_backing_off(now))
+        return exclusion::backing_off;
+    if (endpoint.health.is_ejected(now))
+        return exclusion::ejected;
+    if (endpoint.is_limited(now) &&
+        !admits(now, endpoint, endpoint.reserved_requests))
+        return exclusion::warming_up;
+    if (tried.contains(endpoint.id))
+        return exclusion::tried;
+    return std::nullopt;
+}
+
 std::vector<const endpoint_state*>
 router::usable_endpoints(time_point now, const request_profile& request,
                          const service& service_info,
@@ -33,13 +56,7 @@
     result.reserve(listed.size());
     for (const endpoint_state* state : listed)
     {
-        if (request.release && *request.release != state->release)
-            continue;
-        const bool accepts_requests =
-            state->is_usable(now) &&
-            (!state->is_limited(now) ||
-             admits(now, *state, state->reserved_requests));
-        if (accepts_requests && (tried.empty() || !tried.contains(state->id)))
+        if (!exclusion_of(now, request, tried, *state))
             result.push_back(state);
     }
     return result;
@@ -62,43 +79,28 @@
     return homes;
 }
 
-endpoint_survey router::survey_endpoints(time_point now,
-                                         const request_profile& request,
-                                         service_id service,
-                                         const std::set<endpoint_id>& tried,
-                                         std::size_t weighed) const
+endpoint_survey
+router::survey_endpoints(time_point now, const request_profile& request,
+                         service_id service, const std::set<endpoint_id>& tried,
+                         endpoint_list usable, std::size_t compared) const
 {
     endpoint_survey result;
-    result.weighed = static_cast<unsigned>(weighed);
-    unsigned usable = 0;
-    double shortest_ms = std::numeric_limits<double>::infinity();
+    result.compared = static_cast<unsigned>(compared);
     for (const endpoint_state* state : endpoints_of(service))
     {
         ++result.listed;
-        if (request.release && *request.release != state->release)
-            ++result.other_release;
-        else if (state->is_leaving())
-            ++result.leaving;
-        else if (state->is_drained)
-            ++result.drained;
-        else if (state->is_backing_off(now))
-            ++result.backing_off;
-        else if (state->health.is_ejected(now))
-            ++result.ejected;
-        else if (state->is_limited(now) &&
-                 !admits(now, *state, state->reserved_requests))
-            ++result.warming_up;
-        else if (tried.contains(state->id))
-            ++result.tried;
-        else
-        {
-            ++usable;
-            shortest_ms =
-                std::min(shortest_ms, ledger_.total(state->id).unread_ms);
-        }
+        if (const auto reason = exclusion_of(now, request, tried, *state))
+            result.exclude(*reason);
     }
-    result.not_home = usable - std::min(usable, result.weighed);
-    result.shortest_queue_ms = usable == 0 ? 0 : shortest_ms;
+    result.exclude(exclusion::not_home,
+                   static_cast<unsigned>(usable.size() - compared));
+    const auto queue_ms = [this](const endpoint_state* state)
+    { return ledger_.total(state->id).unread_ms; };
+    if (!usable.empty())
+        result.shortest_queue_ms =
+            queue_ms(*std::min_element(usable.begin(), usable.end(),
+                                       [&](const auto* a, const auto* b)
+                                       { return queue_ms(a) < queue_ms(b); }));
     return result;
 }
 
@@ -365,20 +367,21 @@
         refusal_decision refused =
             refuse_without_endpoint(now, request, target_service);
         refused.survey =
-            survey_endpoints(now, request, target_service, tried, 0);
+            survey_endpoints(now, request, target_service, tried, usable, 0);
         return refused;
     }
-    // A refusal for the place alone would leave the account short.
-    conditions.catches_up =
-        best->wait_ms > allowed_ms && homes.size() < usable.size() &&
-        request.standing.is_short && uses(mechanism::short_accounts);
-    if (conditions.catches_up)
+    // An account is owed its share of the pool, wherever its prompts are kept.
+    conditions.is_underserved = best->wait_ms > allowed_ms &&
+                                homes.size() < usable.size() &&
+                                request.standing.is_underserved &&
+                                uses(mechanism::underserved_accounts);
+    if (conditions.is_underserved)
         best = choose_endpoint(context, usable);
-    const std::size_t weighed =
-        conditions.catches_up ? usable.size() : homes.size();
+    const std::size_t compared =
+        conditions.is_underserved ? usable.size() : homes.size();
     const double service_ms =
         best->prefill_ms + context.figures.first_ms * best->slowdown;
-    if (!repeated && (conditions.by_objective || conditions.catches_up))
+    if (!repeated && (conditions.by_objective || conditions.is_underserved))
         allowed_ms =
             admission.max_wait_ms(now, request, conditions, service_ms);
     // The request is refused rather than sent to an engine with a shorter wait
@@ -395,8 +398,8 @@
         refusal_decision refused =
             make_refusals().refuse_for_load(*reason, best->wait_ms, allowed_ms);
         refused.predicted_ms = best->wait_ms + service_ms;
-        refused.survey =
-            survey_endpoints(now, request, target_service, tried, weighed);
+        refused.survey = survey_endpoints(now, request, target_service, tried,
+                                          usable, compared);
         if (promises_returns(target_service) && service_info->is_engine())
             schedule_return(now, request, target_service, refused, service_ms);
         return refused;
--- a/packages/core/unittests/config_spread_test.cpp
+++ b/packages/core/unittests/config_spread_test.cpp
@@ -269,7 +269,8 @@
             pass_config(which, sender);
         if (report.part == report_part::member)
             here.members[sender] = now_;
-        if (report.part == report_part::domain && here.configs.covers(report))
+        if (report.part == report_part::domain &&
+            here.configs.has_version_of(report))
             here.store.confirm(now_, report.store);
     }
     void pass_config(std::size_t from, std::size_t to)
@@ -337,39 +338,47 @@
 
 } // namespace
 
-// Guards against an old configuration in force at the members of an aggregator
-// that the store rejects: other instances helped it only once no newer version
-// had come for a while, and it told its members that they need not read.
+// Guards against an old configuration at members of a rejected aggregator.
+// Load: the store rejects a third of the instances, one aggregator among them,
+// and a version comes every 0.1 to 2 s.
 Test(config_spread, versions_in_a_row_reach_members_of_a_rejected_aggregator)
 {
     for (const int gap : {100, 180, 330, 600, 2000})
         expect_bound({59, 3, 1, milliseconds(gap), 0.35, 1}, 10);
 }
 
+// Guards against members that rely on aggregators of which none can read.
+// Load: the same with the aggregators of all failure domains rejected.
 Test(config_spread, versions_in_a_row_while_all_aggregators_are_rejected)
 {
     for (const int gap : {100, 180, 330, 600, 2000})
         expect_bound({59, 3, 1, milliseconds(gap), 0.35, 3}, 10);
 }
 
+// Guards against an old configuration where few instances can read the store.
+// Load: four in five instances rejected, a version every 0.18 s.
 Test(config_spread, most_instances_are_rejected)
 {
     for (const std::size_t aggregators : {0, 2, 3})
         expect_bound({59, 3, 1, milliseconds(180), 0.8, aggregators}, 5);
 }
 
+// Guards against a bound that holds in fleets of one size only.
+// Load: a third of 195 instances rejected, a version every 0.18 s.
 Test(config_spread, a_hundred_and_ninety_five_instances)
 {
     for (const std::size_t aggregators : {1, 5})
         expect_bound({195, 5, 1, milliseconds(180), 0.35, aggregators}, 2);
 }
 
+// Guards against copies to instances that get the version anyway.
+// Load: ten versions, one every 0.6 s, while the store rejects nobody.
 Test(config_spread, a_fleet_that_the_store_serves_needs_few_copies)
 {
     fleet world({59, 3, 1, milliseconds(600), 0, 0});
     world.run(seconds(5));
     world.begin_changes();
     world.run(seconds(6));
-    // Members get each version from their aggregator.
+    // Each instance needs at most one copy of each version.
     cr_expect_leq(world.copies(), 10 * 59U, "%zu", world.copies());
 }
--- a/packages/core/unittests/direct_router_test.cpp
+++ b/packages/core/unittests/direct_router_test.cpp
@@ -204,8 +204,7 @@
     cr_expect_not(learned.places_request(start));
 }
 
-// Guards against refusals that do not tell which endpoints were compared: a
-// full place and a full pool looked alike.
+// Guards against refusals that do not tell a full engine from a full pool.
 Test(direct_router, a_refusal_tells_what_was_compared_and_the_shares_in_force)
 {
     fixture fix;
@@ -234,9 +233,9 @@
     cr_assert_not(is_placed(decision));
     const endpoint_survey survey = std::get<refusal_decision>(decision).survey;
     cr_expect_eq(survey.listed, 3U);
-    cr_expect_eq(survey.leaving, 1U);
-    cr_expect_eq(survey.weighed, 2U);
-    cr_expect_eq(survey.not_home, 0U);
+    cr_expect_eq(survey.excluded(exclusion::leaving), 1U);
+    cr_expect_eq(survey.compared, 2U);
+    cr_expect_eq(survey.excluded(exclusion::not_home), 0U);
     cr_expect_float_eq(
         survey.shortest_queue_ms,
         fix.tested_router.ledger().total(endpoint_id::of("two")).unread_ms,
@@ -297,9 +296,8 @@
 
 } // namespace
 
-// Guards against an account that gets far less than its share because the
-// engines that keep its prompts are full, while others are idle.
-Test(direct_router, a_request_of_a_short_account_leaves_full_homes)
+// Guards against refusals of an underserved account while engines are idle.
+Test(direct_router, a_request_of_an_underserved_account_leaves_full_homes)
 {
     full_homes fix;
     const routing_decision decision = fix.decide_for(modest, 20000, 5000);
@@ -311,28 +309,31 @@
                   static_cast<std::ptrdiff_t>(prompt_homes::min_homes));
 }
 
-// An account that gets most of what it asks for is not short: its requests
-// would cost others a prefill.
-Test(direct_router, a_request_of_a_served_account_stays_at_full_homes)
+// Guards against prefills at other engines for an account that gets its share.
+Test(direct_router, a_request_of_a_served_account_is_refused_at_full_homes)
 {
     full_homes fix;
     const routing_decision decision = fix.decide_for(modest, 20000, 15000);
     cr_assert_not(is_placed(decision));
-    cr_expect_eq(std::get<refusal_decision>(decision).survey.not_home, 9U);
+    cr_expect_eq(std::get<refusal_decision>(decision).survey.excluded(
+                     exclusion::not_home),
+                 9U);
 }
 
-Test(direct_router, without_short_accounts_full_homes_refuse)
+// Guards against the mechanism being in force where it is switched off.
+Test(direct_router, full_homes_refuse_with_the_mechanism_switched_off)
 {
     mechanism_set mechanisms;
-    mechanisms.switch_off(mechanism::short_accounts);
+    mechanisms.switch_off(mechanism::underserved_accounts);
     full_homes fix(mechanisms);
     cr_expect_not(is_placed(fix.decide_for(modest, 20000, 5000)));
 }
 
 // Guards against accounts that count as served by requests that endpoints lost.
-Test(direct_router, a_request_that_never_began_does_not_count_as_served)
+Test(direct_router, a_lost_request_does_not_count_as_served)
 {
     fixture fix;
+    fix.tested_router.set_fleet_size(40);
     request_profile request = fix.admit_request(modest);
     auto placed = std::get<placement_decision>(fix.decide(request));
     fix.tested_router.sent(start, request, placed);
--- a/packages/core/unittests/fair_shares_test.cpp
+++ b/packages/core/unittests/fair_shares_test.cpp
@@ -55,8 +55,6 @@
     static constexpr int changes = 4;
     static constexpr std::size_t start_s = 4;
     static constexpr std::size_t period_s = 5;
-    // The first seconds, in which caches are cold, are left out.
-    static constexpr std::size_t judged_from = 2;
     std::mt19937_64 random(seed);
     const simulation_config plan = many_accounts_config(seed);
     fleet_simulation world(plan);
@@ -71,8 +69,7 @@
         world.set_account_factor("account-" + std::to_string(account), factor);
         world.run(period_s);
     }
-    return world.seconds().shortfalls(judged_from,
-                                      start_s + changes * period_s);
+    return world.seconds().shortfalls(0, start_s + changes * period_s);
 }
 
 void expect_no_shortfall(std::uint64_t seed, double slowdown)
@@ -87,16 +84,17 @@
 
 } // namespace
 
-// Guards against an account that gets far less than its share while one that
-// floods is served from what engines do beyond the configured throughput.
+// Guards against an account that gets far less than its share beside a flood.
+// Load: one account after another sends 0.03 to 11 times its usual, at engines
+// that do twice the configured throughput.
 Test(fair_shares, no_account_falls_short_while_another_one_floods)
 {
     for (const std::uint64_t seed : {4, 6, 11})
         expect_no_shortfall(seed, 1);
 }
 
-// Guards against tokens in proportion to demand where engines do less than the
-// configured throughput, so that all accounts are within their shares of it.
+// Guards against tokens in proportion to demand where engines are too slow.
+// Load: the same at engines that do half of the configured throughput.
 Test(fair_shares, no_account_falls_short_at_engines_slower_than_configured)
 {
     for (const std::uint64_t seed : {1, 2, 3, 4})
--- a/test/integration/releases_test.cpp
+++ b/test/integration/releases_test.cpp
@@ -558,7 +558,7 @@
 } // namespace
 
 // Guards against answers joined from two versions after a kill of all
-// instances, when nobody is left who knows which version began a stream.
+// instances.
 Test(releases, no_stream_is_joined_from_two_versions_after_a_kill_of_all)
 {
     direct_fleet fleet(mixed_plan(3));
@@ -576,8 +576,7 @@
     cr_expect_gt(newer.begun_since, 0U);
 }
 
-// Guards against refusing all streams that are taken up after a kill of all
-// instances while engines of their versions are there.
+// Guards against refusing all streams of known versions after a kill of all.
 Test(releases, half_of_the_streams_go_on_after_a_kill_of_all_with_two_versions)
 {
     direct_fleet fleet(mixed_plan(3));
