--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
@@ -27,7 +27,8 @@
 class account_refusals
 {
   public:
-    /// Accounts that have counters of their own.
+    /// Accounts that have counters of their own. Operators' collectors keep a
+    /// series for each counter of each instance.
     static constexpr std::size_t max_accounts = 64;
     /// Name under which further accounts are counted.
     static constexpr const char* others = "others";
--- a/test/model/account_seconds.hpp
+++ b/test/model/account_seconds.hpp
@@ -1,5 +1,5 @@
 // What client accounts asked for and got in each second of a simulation, and
-// the rule that no account falls far behind its share.
+// the accounts that fell far behind others by the users' rule (FAIR).
 #pragma once
 
 #include <algorithm>
@@ -41,9 +41,9 @@
 class account_seconds
 {
   public:
-    /// Length of the time over which the rule compares, in seconds.
+    /// Time over which the rule compares, in seconds.
     static constexpr std::size_t window = 6;
-    /// Number of the account's largest requests that it may miss.
+    /// Number of its largest requests that the rule lets an account miss.
     static constexpr double tolerated_requests = 3;
 
     void note_asked(double at_ms, const std::string& account, double tokens)
