event_malformed (3012): tell what of a stream is not its next event

No line and no counter told garbage inside a body from an event, so the record could tell neither the endpoint nor the place. Now each block is read as an event (event_block), and one that is not the next event of its stream is counted (malformed_events_total, by fault) and logged with its endpoint, the last id, the place in the body and whether the connection had been used before: garbage of one attempt, bytes of two attempts and bytes of another answer look different. What is passed on is as before, but for the number that a next endpoint is asked to go on after, which is the caller's until an event has one, as before.

direct_test, dialect_test and events_test pass.

--- a/packages/adapters/include/sycamorelock/adapters/direct/dialect.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/dialect.hpp
@@ -2,6 +2,7 @@
 // speaks about. A dialect translates and decides nothing.
 #pragma once
 
+#include "sycamorelock/adapters/event_block.hpp"
 #include "sycamorelock/core/direct/catalogue.hpp"
 #include "sycamorelock/core/direct/drained_domains.hpp"
 #include "sycamorelock/core/direct/endpoint_load.hpp"
@@ -34,8 +35,8 @@
     std::optional<milliseconds> time_left;
     /// Empty if there is none.
     std::string api_key;
-    /// Number of the last event that the caller has of a stream.
-    std::optional<std::uint64_t> last_event;
+    /// Last event that the caller has of a stream.
+    std::optional<event_id> last_event;
     /// Attempt that brought the first event of the stream that this request
     /// goes on with; empty if the caller names none that can be one.
     std::string resumes;
@@ -52,7 +53,7 @@
     std::string_view endpoint_boot;
     /// Name of the client account; empty for anonymous requests.
     std::string_view account;
-    std::optional<std::uint64_t> last_event;
+    std::optional<event_id> last_event;
     /// Address of the engine from which the endpoint fetches the prompt's
     /// memory; empty for none.
     std::string_view fetch_from = {};
@@ -144,6 +145,9 @@
     {
         D::read_answer(in, status)
         } -> std::same_as<answer_meta>;
+    {
+        D::events()
+        } -> std::same_as<event_dialect>;
     {
         D::ready_path()
         } -> std::same_as<std::string>;
@@ -180,6 +184,7 @@
     bool (*always_forwarded)(std::string_view name);
     void (*write_attempt)(header_fields&, const attempt_meta&);
     answer_meta (*read_answer)(const header_fields&, unsigned status);
+    event_dialect (*events)();
     std::string (*ready_path)();
     std::string (*operators_target)(std::string_view after);
     std::string (*list_target)(std::string_view after);
@@ -192,11 +197,11 @@
 
 template <wire_dialect D> constexpr dialect_table table_of()
 {
-    return {&D::read_request,     &D::set_by_us,   &D::always_forwarded,
-            &D::write_attempt,    &D::read_answer, &D::ready_path,
-            &D::operators_target, &D::list_target, &D::watch_target,
-            &D::read_operators,   &D::read_list,   &D::read_watch,
-            &D::read_catalogue};
+    return {&D::read_request,  &D::set_by_us,        &D::always_forwarded,
+            &D::write_attempt, &D::read_answer,      &D::events,
+            &D::ready_path,    &D::operators_target, &D::list_target,
+            &D::watch_target,  &D::read_operators,   &D::read_list,
+            &D::read_watch,    &D::read_catalogue};
 }
 
 } // namespace sycamorelock::adapters::direct
--- a/packages/adapters/include/sycamorelock/adapters/direct/event_stream.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/event_stream.hpp
@@ -2,6 +2,8 @@
 // can go on at another endpoint exactly after the last one.
 #pragma once
 
+#include "sycamorelock/adapters/event_block.hpp"
+
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -13,31 +15,38 @@
 class event_splitter
 {
   public:
+    event_splitter() = default;
+    /// \param after id of the last event that the caller has; absent if it has
+    /// none.
+    event_splitter(const event_dialect& dialect, std::optional<event_id> after);
+
     /// Takes bytes of the stream and returns those that complete events; the
     /// view holds until the next call.
     std::string_view feed(std::string_view bytes);
 
+    /// Why the last bytes held something that is not the stream's next event.
+    [[nodiscard]] event_fault fault() const { return fault_; }
     /// Whether the stream stopped in the middle of an event.
     [[nodiscard]] bool torn() const { return !rest_.empty(); }
     /// Bytes of the event that is not complete yet.
     [[nodiscard]] std::size_t pending() const { return rest_.size(); }
     /// Complete events so far.
     [[nodiscard]] std::uint64_t count() const { return count_; }
-    /// Id of the newest complete event that had a number as id.
-    [[nodiscard]] std::optional<std::uint64_t> last_id() const
-    {
-        return last_id_;
-    }
+    /// Id of the newest complete event, or that after which the caller asked to
+    /// go on.
+    [[nodiscard]] std::optional<event_id> last_id() const { return last_id_; }
     /// Drops the beginning of an event that never came to its end.
     void drop_rest() { rest_.clear(); }
 
   private:
     void read_event(std::string_view event);
 
+    event_dialect dialect_;
     std::string rest_;
     std::string whole_;
     std::uint64_t count_ = 0;
-    std::optional<std::uint64_t> last_id_;
+    std::optional<event_id> last_id_;
+    event_fault fault_ = event_fault::none;
 };
 
 } // namespace sycamorelock::adapters::direct
--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
@@ -80,6 +80,8 @@
     std::map<std::string, std::uint64_t> silences;
     /// Answers given up as they had no end, by the part that had none.
     std::map<std::string, std::uint64_t> endless;
+    /// Pieces of streams that were not the next event, by what they lacked.
+    std::map<std::string, std::uint64_t> malformed_events;
     /// By how their release became known.
     std::map<std::string, std::uint64_t> resumed;
     std::map<std::string, std::unique_ptr<service_latency>> latency;
--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -71,6 +71,7 @@
     silent_endpoint_kept = 3009,
     crash_evidence = 3010,
     endpoint_endless = 3011,
+    event_malformed = 3012,
     endpoint_seen = 3101,
     endpoint_draining = 3102,
     endpoint_gone = 3103,
--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -209,7 +209,8 @@
 {
     const core::endpoint_id id = placed_.request_load.endpoint;
     channel_ = context_.channels.take(now(), id);
-    if (channel_)
+    is_reused_ = channel_ != nullptr;
+    if (is_reused_)
         co_return true;
     channel_ = std::make_unique<endpoint_channel>(context_.io, max_unparsed);
     ++context_.metrics.endpoint_connects;
@@ -313,6 +314,21 @@
                         {"part", std::string(endless_)}});
 }
 
+void attempt::note_malformed()
+{
+    const std::string fault(to_string(events_.fault()));
+    ++context_.metrics.malformed_events[fault];
+    const auto last = events_.last_id();
+    context_.log.write(direct_event::event_malformed,
+                       {{"request", request_.meta.attempt_id},
+                        {"endpoint", placed_.endpoint.boot},
+                        {"fault", fault},
+                        {"last_id", last ? to_string(*last) : "none"},
+                        {"events", std::to_string(events_.count())},
+                        {"body_bytes", std::to_string(body_bytes_)},
+                        {"reused", is_reused_ ? "yes" : "no"}});
+}
+
 bool attempt::may_send()
 {
     const auto reason = context_.router.withheld(now(), placed_);
@@ -369,8 +385,7 @@
     meta.time_left = left_until(request_.profile.deadline);
     meta.endpoint_boot = placed_.endpoint.boot;
     meta.account = request_.account_name;
-    meta.last_event =
-        events_.last_id() ? events_.last_id() : request_.meta.last_event;
+    meta.last_event = events_.last_id();
     if (placed_.fetch)
         meta.fetch_from = placed_.fetch->address;
     dialect.write_attempt(*sending_, meta);
@@ -601,6 +616,8 @@
         const std::string_view whole =
             events_.feed({piece_.data(), piece_size_});
         piece_size_ = 0;
+        if (events_.fault() != event_fault::none)
+            note_malformed();
         if (events_.pending() > max_event)
         {
             endless_ = "event";
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -137,6 +137,8 @@
     attempt_end stopped(std::string_view why);
     /// Tells that a part of the answer was longer than it may be.
     void note_endless();
+    /// Tells that the answer held something that is not the next event.
+    void note_malformed();
     /// How an attempt ends whose answer stops here.
     [[nodiscard]] attempt_end unfinished_end() const;
     /// Ends the attempt if there is no connection by then.
@@ -194,6 +196,8 @@
     /// This process had nothing left for a connection.
     bool has_shortage_ = false;
     bool has_terminated_ = false;
+    /// The connection had been used before.
+    bool is_reused_ = false;
     bool silent_ = false;
     bool waits_ = false;
     /// An answer to an earlier request is being read.
--- a/packages/adapters/lib/direct/event_stream.cpp
+++ b/packages/adapters/lib/direct/event_stream.cpp
@@ -1,8 +1,6 @@
 // Events end with an empty line.
 #include "sycamorelock/adapters/direct/event_stream.hpp"
 
-#include <charconv>
-
 namespace sycamorelock::adapters::direct
 {
 
@@ -10,15 +8,21 @@
 {
 
 constexpr std::string_view event_end = "\n\n";
-constexpr std::string_view id_field = "id:";
 
 } // namespace
 
+event_splitter::event_splitter(const event_dialect& dialect,
+                               std::optional<event_id> after)
+    : dialect_(dialect), last_id_(after)
+{
+}
+
 std::string_view event_splitter::feed(std::string_view bytes)
 {
     const std::size_t searched =
         rest_.size() < event_end.size() ? 0 : rest_.size() - 1;
     rest_.append(bytes);
+    fault_ = event_fault::none;
     std::size_t begin = 0;
     std::size_t from = searched;
     for (;;)
@@ -38,22 +42,18 @@
 void event_splitter::read_event(std::string_view event)
 {
     ++count_;
-    while (!event.empty())
+    event_block read = read_event_block(event, dialect_);
+    if (read.fault == event_fault::none && !read.is_comment)
     {
-        const std::size_t line_end = std::min(event.find('\n'), event.size());
-        std::string_view line = event.substr(0, line_end);
-        event.remove_prefix(std::min(line_end + 1, event.size()));
-        if (!line.starts_with(id_field))
-            continue;
-        line.remove_prefix(id_field.size());
-        while (line.starts_with(' '))
-            line.remove_prefix(1);
-        std::uint64_t id = 0;
-        const auto [stop, error] =
-            std::from_chars(line.data(), line.data() + line.size(), id);
-        if (error == std::errc())
-            last_id_ = id;
+        if (!read.id)
+            read.fault = event_fault::no_id;
+        else if (!follows(*read.id, last_id_, dialect_))
+            read.fault = event_fault::unexpected_id;
     }
+    if (read.id)
+        last_id_ = read.id;
+    if (fault_ == event_fault::none)
+        fault_ = read.fault;
 }
 
 } // namespace sycamorelock::adapters::direct
--- a/packages/adapters/lib/direct/request_log.cpp
+++ b/packages/adapters/lib/direct/request_log.cpp
@@ -31,6 +31,11 @@
     return std::to_string(static_cast<std::int64_t>(share * hundred));
 }
 
+std::string id_text(std::optional<event_id> id)
+{
+    return id ? to_string(*id) : "none";
+}
+
 std::string text_or_none(std::string_view text)
 {
     return std::string(text.empty() ? "none" : text);
@@ -167,9 +172,7 @@
          {"route", request.profile.route_config->name},
          {"account", request.account_name},
          {"resumes", text_or_none(request.meta.resumes)},
-         {"last_event", request.meta.last_event
-                            ? std::to_string(*request.meta.last_event)
-                            : "none"},
+         {"last_event", id_text(request.meta.last_event)},
          {"source", source},
          {"release", found.release ? to_text(*found.release) : "none"},
          {"waited_ms", ms_text(now() - request.profile.arrived)}});
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -300,6 +300,8 @@
     try
     {
         request.meta = context_.dialect.read_request(request.message);
+        request.events =
+            event_splitter(context_.dialect.events(), request.meta.last_event);
     }
     catch (const dialect_error& error)
     {
--- a/packages/adapters/lib/direct/traffic_metrics.cpp
+++ b/packages/adapters/lib/direct/traffic_metrics.cpp
@@ -86,6 +86,10 @@
              "Answers of endpoints that were given up, by the part that was "
              "longer than it may be.",
              endless);
+    labelled(out, "malformed_events_total", "fault",
+             "Pieces of streams that were not the next event, by what was "
+             "wrong with them.",
+             malformed_events);
     labelled(out, "resumed_total", "source",
              "Requests that go on with a stream that another attempt began, by "
              "how its release became known.",
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -144,6 +144,9 @@
     event_kind{3011, warn, "endpoint_endless",
                "A part of an endpoint's answer was longer than it may be; the "
                "connection was closed."},
+    event_kind{3012, warn, "event_malformed",
+               "An endpoint sent, within a stream, something that is not its "
+               "next event; `fault` tells what is wrong with it."},
     event_kind{3101, info, "endpoint_seen",
                "An endpoint registered or changed its entry."},
     event_kind{3102, info, "endpoint_drains",
--- a/packages/adapters/unittests/direct_test.cpp
+++ b/packages/adapters/unittests/direct_test.cpp
@@ -8,6 +8,7 @@
 #include <string>
 
 using namespace sycamorelock::adapters::direct;
+using sycamorelock::adapters::event_id;
 namespace core = sycamorelock::core;
 
 Test(event_stream, only_complete_events_come_out)
@@ -24,7 +25,7 @@
         out += events.feed(stream.substr(cut));
         cr_expect_str_eq(out.c_str(), stream.c_str());
         cr_expect_eq(events.count(), 2U);
-        cr_expect_eq(*events.last_id(), 2U);
+        cr_expect_eq(*events.last_id(), event_id(2));
     }
 }
 
@@ -33,7 +34,7 @@
     event_splitter events;
     std::string out(events.feed("id: 1\ndata: a\n\nid: 2\nda"));
     cr_expect(events.torn());
-    cr_expect_eq(*events.last_id(), 1U);
+    cr_expect_eq(*events.last_id(), event_id(1));
     events.drop_rest();
     out += events.feed("id: 2\ndata: b\n\n");
     cr_expect_str_eq(out.c_str(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
