--- a/test/standins/direct_engine.cpp
+++ b/test/standins/direct_engine.cpp
@@ -111,6 +111,15 @@
     set_fault(answer_fault::endless);
 }
 
+void direct_engine::set_spoiled(const spoiled_stream& what, int times)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        spoiled_ = what;
+    }
+    set_fault(answer_fault::spoiled, 0, times);
+}
+
 answer_fault direct_engine::take_fault()
 {
     const std::lock_guard lock(mutex_);
@@ -327,6 +336,30 @@
     co_return co_await send(stream, std::move(end), fault, left);
 }
 
+asio::awaitable<bool> direct_engine::send_spoiled(beast::tcp_stream& stream,
+                                                  const engine_run& run)
+{
+    spoiled_stream what;
+    {
+        const std::lock_guard lock(mutex_);
+        what = spoiled_;
+    }
+    const std::string body =
+        what.spoil(stream_body(run.attempt_id, events_, run.last_event));
+    std::string bytes = header(run.attempt_id, "200 OK") +
+                        "Content-Type: text/event-stream\r\n";
+    bytes += what.framed ? "Transfer-Encoding: chunked\r\n\r\n"
+                         : "Connection: close\r\n\r\n";
+    if (!what.framed)
+        bytes += body;
+    else
+        bytes += (body.empty() ? "" : chunk(body)) + "0\r\n\r\n";
+    long whole = 0;
+    const bool sent =
+        co_await send(stream, std::move(bytes), answer_fault::none, whole);
+    co_return sent&& what.framed;
+}
+
 asio::awaitable<bool> direct_engine::answer(beast::tcp_stream& stream,
                                             request asked)
 {
@@ -409,6 +442,8 @@
         more =
             co_await send(stream, std::move(bytes), answer_fault::none, whole);
     }
+    else if (fault == answer_fault::spoiled && events_ > 0)
+        more = co_await send_spoiled(stream, run);
     else if (fault != answer_fault::lost && events_ > 0)
         more = co_await stream_events(stream, run, fault);
     else if (fault != answer_fault::lost)
--- a/test/standins/direct_engine.hpp
+++ b/test/standins/direct_engine.hpp
@@ -36,6 +36,8 @@
     stray_refusal,
     /// Sends without end, see `set_endless`.
     endless,
+    /// Changes the body of its stream, see `set_spoiled`.
+    spoiled,
 };
 
 /// A request that reached an endpoint, whether it ran it or not.
@@ -49,6 +51,15 @@
     std::chrono::milliseconds rest{0};
 };
 
+/// What an endpoint does to the body of a stream.
+struct spoiled_stream
+{
+    /// Makes the body that is sent out of the sound one.
+    std::function<std::string(const std::string&)> spoil;
+    /// Sent in chunks; otherwise it ends with its connection.
+    bool framed = true;
+};
+
 /// Which requests crash an endpoint, and for how long it is down then. It comes
 /// back at its address as another start.
 struct crash_rule
@@ -100,6 +111,8 @@
     void set_fault(answer_fault fault, long cut_at = 0, int times = -1);
     /// Sends these bytes without end instead of answers.
     void set_endless(const endless_bytes& what);
+    /// Changes that many streams from now on.
+    void set_spoiled(const spoiled_stream& what, int times);
     /// Bytes sent so, over all connections.
     [[nodiscard]] std::size_t endless_sent() const { return endless_sent_; }
     /// Another start of the endpoint, which declines what is meant for the old.
@@ -134,6 +147,8 @@
     asio::awaitable<bool> stream_events(beast::tcp_stream& stream,
                                         const engine_run& run,
                                         answer_fault fault);
+    asio::awaitable<bool> send_spoiled(beast::tcp_stream& stream,
+                                       const engine_run& run);
     [[nodiscard]] bool crashes_under(const engine_run& run, long event) const;
     void crash(const engine_run& run);
     asio::awaitable<void> come_back();
@@ -166,6 +181,7 @@
     int fault_times_ = 0;
     endless_bytes endless_;
     std::atomic<std::size_t> endless_sent_{0};
+    spoiled_stream spoiled_;
     std::string answer_before_;
     std::optional<crash_rule> crash_rule_;
     std::function<void(const std::string&)> on_crash_change_;
