Streams: events are passed on before an attempt ends in the middle of the next one

Cause: if one read holds complete events and, at the end of the body, the beginning of another, the attempt ended with event_cut before the complete ones were passed on, while their ids already counted; the next endpoint went on after them. Now what is complete is passed on first, whatever ends the attempt.

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -602,6 +602,23 @@
     co_return error;
 }
 
+std::string_view attempt::stream_fault()
+{
+    if (events_.pending() > max_event)
+    {
+        endless_ = "event";
+        return "stream_cut";
+    }
+    if (!parser_->is_done())
+        return {};
+    if (events_.torn())
+        return "event_cut";
+    // Without a length, an endpoint that crashed before the first event looks
+    // like one that had nothing to send.
+    const bool is_empty = events_.count() == 0 && !request_.meta.last_event;
+    return parser_->need_eof() && is_empty ? "stream_cut" : "";
+}
+
 asio::awaitable<attempt_end> attempt::relay_events()
 {
     const core::direct::route& route_config = *request_.profile.route_config;
@@ -618,21 +635,8 @@
         piece_size_ = 0;
         if (events_.fault() != event_fault::none)
             note_malformed();
-        if (events_.pending() > max_event)
-        {
-            endless_ = "event";
-            co_return stopped("stream_cut");
-        }
-        const bool done = parser_->is_done();
-        if (done && events_.torn())
-            co_return stopped("event_cut");
-        // Without a length, an endpoint that crashed before the first event
-        // looks like one that had nothing to send.
-        const bool is_empty = events_.count() == 0 && !request_.meta.last_event;
-        if (done && parser_->need_eof() && is_empty)
-            co_return stopped("stream_cut");
-        if (whole.empty() && !done)
-            continue;
+        const std::string_view fault = stream_fault();
+        const bool done = fault.empty() && parser_->is_done();
         if (!whole.empty())
         {
             note_event();
@@ -640,11 +644,14 @@
             if (request_.secure_next && awaited_ != pause)
                 expect_within(pause);
         }
-        if (co_await pass_on(whole, done))
+        // Also before a fault: another endpoint goes on after the last event.
+        if ((!whole.empty() || done) && co_await pass_on(whole, done))
         {
             why_ = "write_failed";
             co_return attempt_end::abandoned;
         }
+        if (!fault.empty())
+            co_return stopped(fault);
         if (done)
             co_return attempt_end::complete;
     }
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -132,6 +132,8 @@
     /// is none to pass on.
     asio::awaitable<std::optional<attempt_end>> begin_answer();
     asio::awaitable<attempt_end> relay_events();
+    /// Why the stream cannot go on after what has been read; empty if it can.
+    std::string_view stream_fault();
     asio::awaitable<attempt_end> collect();
     asio::awaitable<attempt_end> pass_on_rest();
     attempt_end stopped(std::string_view why);
