Scheduled routing: only events of a stream are passed on, and only they are charged

Now endpoint_call reads a stream through event_splitter too, without ids, as these endpoints number no events, and with line ends as HTTP has them. Garbage, or the beginning of an event at the end, cuts the answer after the last event; event_malformed (1303) tells of it. Streams go to the caller in chunks, since comments are left out.

--- a/packages/adapters/include/sycamorelock/adapters/event_block.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_block.hpp
@@ -38,13 +38,24 @@
 };
 std::string_view to_string(event_fault fault);
 
+/// How the ids of a stream follow each other.
+enum class id_order : std::uint8_t
+{
+    /// Events may be without ids, and these may be any text. They are not read.
+    any,
+    growing,
+    /// By one from 1.
+    consecutive,
+};
+
 /// How endpoints write events, beyond the standard.
 struct event_dialect
 {
     /// Field that an event may begin with, with a whole number; empty for none.
     std::string_view leading_field = {};
-    /// Ids grow by one from 1.
-    bool has_consecutive_ids = false;
+    id_order ids = id_order::growing;
+    /// Lines may end with a carriage return and a line feed.
+    bool allows_carriage_returns = false;
 };
 
 struct event_block
@@ -61,9 +72,11 @@
 [[nodiscard]] event_block read_event_block(std::string_view text,
                                            const event_dialect& dialect);
 
-/// Whether an event with an id may follow the last one.
+/// What is wrong with the id of an event that follows the last one.
+/// \param id absent if the event has none.
 /// \param last id of the last event; absent at the beginning of a stream.
-[[nodiscard]] bool follows(event_id id, std::optional<event_id> last,
-                           const event_dialect& dialect);
+[[nodiscard]] event_fault check_order(std::optional<event_id> id,
+                                      std::optional<event_id> last,
+                                      id_order order);
 
 } // namespace sycamorelock::adapters
--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -54,6 +54,7 @@
     accept_recovered = 1204,
     bad_request = 1301,
     endpoint_endless = 1302,
+    event_malformed = 1303,
     invariant_answer_mixed = 1901,
 };
 
--- a/packages/adapters/include/sycamorelock/adapters/direct/event_stream.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_stream.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-namespace sycamorelock::adapters::direct
+namespace sycamorelock::adapters
 {
 
 class event_splitter
@@ -39,8 +39,19 @@
     void drop_rest();
 
   private:
-    /// \param block up to its empty line, which is included.
-    void read_block(std::string_view block);
+    /// Where a block ends.
+    struct block_end
+    {
+        /// Line feed of its last line that is not empty.
+        std::size_t text;
+        /// First byte behind its empty line.
+        std::size_t next;
+    };
+
+    [[nodiscard]] std::optional<block_end> find_end(std::size_t from) const;
+    /// \param block with its empty line.
+    /// \param text the block's lines.
+    void read_block(std::string_view block, std::string_view text);
 
     event_dialect dialect_;
     std::string rest_;
@@ -50,4 +61,4 @@
     event_fault fault_ = event_fault::none;
 };
 
-} // namespace sycamorelock::adapters::direct
+} // namespace sycamorelock::adapters
--- a/packages/adapters/include/sycamorelock/adapters/metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/metrics.hpp
@@ -47,6 +47,8 @@
     std::atomic<std::uint64_t> endpoint_connects{0};
     /// Answers given up as a part of them had no end.
     std::atomic<std::uint64_t> endpoint_endless{0};
+    /// Answers given up as a part of their stream was no event.
+    std::atomic<std::uint64_t> malformed_events{0};
     std::atomic<std::uint64_t> platform_bytes{0};
     std::atomic<std::uint64_t> platform_calls{0};
     listener_metrics callers{"caller"};
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -6,7 +6,7 @@
 
 #include "../socket_state.hpp"
 
-#include "sycamorelock/adapters/direct/event_stream.hpp"
+#include "sycamorelock/adapters/event_stream.hpp"
 
 #include <functional>
 #include <optional>
--- a/packages/adapters/lib/endpoint_call.cpp
+++ b/packages/adapters/lib/endpoint_call.cpp
@@ -26,6 +26,10 @@
 /// Rough size of a token in an answer that is not streamed as events.
 constexpr std::uint64_t bytes_per_token = 4;
 
+/// Endpoints number no events.
+constexpr event_dialect event_form{.ids = id_order::any,
+                                   .allows_carriage_returns = true};
+
 /// Fields that are this interface's to set.
 bool is_own_field(beast::string_view name)
 {
@@ -69,7 +73,8 @@
 }
 
 endpoint_call::endpoint_call(call_context context, const core::dispatch& order)
-    : context_(std::move(context)), order_(order), buffer_(max_unparsed)
+    : context_(std::move(context)), order_(order), buffer_(max_unparsed),
+      events_(event_form, std::nullopt)
 {
 }
 
@@ -207,7 +212,7 @@
     copy_end_to_end(from, header, is_own_field);
     header.set("X-Request-Id", to_string(order_.request));
     header.keep_alive(context_.keep_caller);
-    if (parser_->chunked())
+    if (is_chunked())
         header.chunked(true);
     else if (from.has_content_length())
         header.content_length(parser_->content_length());
@@ -219,43 +224,64 @@
     co_return !error;
 }
 
-void endpoint_call::count_tokens(const char* data, std::size_t size)
+void endpoint_call::note_malformed()
 {
-    body_bytes_ += size;
-    event_bytes_ += size;
-    if (!event_stream_)
-        return;
-    // An event ends with an empty line; each carries one token.
-    for (std::size_t i = 0; i < size; ++i)
+    ++context_.control.traffic().malformed_events;
+    context_.control.log().write(
+        process_event::event_malformed,
+        {{"request", to_string(order_.request)},
+         {"fault", std::string(to_string(events_.fault()))},
+         {"events", std::to_string(events_.count())},
+         {"body_bytes", std::to_string(body_bytes_)},
+         {"reused", pooled_ ? "yes" : "no"}});
+}
+
+bool endpoint_call::is_chunked() const
+{
+    // Comments of a stream are left out, so its length is not known.
+    return parser_->chunked() || event_stream_;
+}
+
+std::string_view endpoint_call::take_events(std::string_view bytes)
+{
+    const std::string_view whole = events_.feed(bytes);
+    if (events_.count() == tokens_)
+        return whole;
+    last_token_ = now();
+    if (tokens_ == 0)
+        first_token_ = last_token_;
+    // Each event carries one token.
+    tokens_ = events_.count();
+    return whole;
+}
+
+bool endpoint_call::has_fault()
+{
+    if (events_.fault() != event_fault::none)
     {
-        if (data[i] == '\r')
-            continue;
-        const bool newline = data[i] == '\n';
-        if (newline && previous_newline_)
-        {
-            ++tokens_;
-            event_bytes_ = size - i;
-            last_token_ = now();
-            if (tokens_ == 1)
-                first_token_ = last_token_;
-        }
-        previous_newline_ = newline && !previous_newline_;
+        note_malformed();
+        return true;
     }
+    const bool is_endless_event = events_.pending() > max_event;
+    const bool is_endless = is_endless_event || read_bytes_ > max_answer_body;
+    if (is_endless)
+        note_endless(is_endless_event ? "event" : "body");
+    return is_endless || (parser_->is_done() && events_.torn());
 }
 
-asio::awaitable<bool> endpoint_call::write_piece(const char* data,
-                                                 std::size_t size)
+asio::awaitable<bool> endpoint_call::write_piece(std::string_view bytes)
 {
+    if (bytes.empty())
+        co_return true;
     context_.caller.expires_after(context_.control.settings().write_timeout);
-    if (!parser_->chunked())
+    if (!is_chunked())
     {
-        auto [error, bytes] = co_await asio::async_write(
-            context_.caller, asio::buffer(data, size), as_result);
+        auto [error, written] = co_await asio::async_write(
+            context_.caller, asio::buffer(bytes), as_result);
         co_return !error;
     }
-    auto [error, bytes] = co_await asio::async_write(
-        context_.caller, http::make_chunk(asio::const_buffer(data, size)),
-        as_result);
+    auto [error, written] = co_await asio::async_write(
+        context_.caller, http::make_chunk(asio::buffer(bytes)), as_result);
     co_return !error;
 }
 
@@ -265,7 +291,6 @@
     if (!co_await write_header())
         co_return attempt_end::caller_left;
     std::array<char, piece_size> piece;
-    const bool streamed = parser_->chunked();
     bool first = true;
     while (!parser_->is_done())
     {
@@ -286,8 +311,12 @@
                 note_endless("framing");
             co_return attempt_end::failed_in_answer;
         }
-        const std::size_t size = piece.size() - body.size;
-        if (size == 0)
+        std::string_view bytes_read(piece.data(), piece.size() - body.size);
+        body_bytes_ += bytes_read.size();
+        if (event_stream_)
+            bytes_read = take_events(bytes_read);
+        const bool ends_here = has_fault();
+        if (bytes_read.empty() && !ends_here)
             continue;
         const core::time_point received = now();
         if (first)
@@ -295,15 +324,11 @@
                 std::chrono::duration<double>(received - context_.accepted)
                     .count());
         first = false;
-        count_tokens(piece.data(), size);
-        const bool endless_event = event_stream_ && event_bytes_ > max_event;
-        if (endless_event || read_bytes_ > max_answer_body)
-        {
-            note_endless(endless_event ? "event" : "body");
-            co_return attempt_end::failed_in_answer;
-        }
-        if (!co_await write_piece(piece.data(), size))
+        // Also what precedes a fault.
+        if (!co_await write_piece(bytes_read))
             co_return attempt_end::caller_left;
+        if (ends_here)
+            co_return attempt_end::failed_in_answer;
         const core::time_point passed = now();
         context_.control.traffic().relay_delay.record(
             std::chrono::duration<double>(passed - received).count());
@@ -313,7 +338,7 @@
         context_.control.report_progress(order_.request, order_.attempt,
                                          cost_so_far());
     }
-    if (!streamed)
+    if (!is_chunked())
         co_return attempt_end::completed;
     auto [error, bytes] = co_await asio::async_write(
         context_.caller, http::make_chunk_last(), as_result);
@@ -378,8 +403,9 @@
     // repeat what may run often anyway.
     if (!context_.idempotent && promises_no_run(parser_->get().result_int()))
         co_return result(attempt_end::turned_away);
-    event_stream_ = parser_->get()[http::field::content_type].starts_with(
-        "text/event-stream");
+    event_stream_ = context_.request.method() != http::verb::head &&
+                    parser_->get()[http::field::content_type].starts_with(
+                        "text/event-stream");
     const attempt_end end = co_await relay();
     co_await check_termination(*route);
     context_.control.traffic().tokens += tokens_;
--- a/packages/adapters/lib/endpoint_call.hpp
+++ b/packages/adapters/lib/endpoint_call.hpp
@@ -4,6 +4,7 @@
 #include "http.hpp"
 
 #include "sycamorelock/adapters/control_plane.hpp"
+#include "sycamorelock/adapters/event_stream.hpp"
 
 #include <map>
 #include <memory>
@@ -66,10 +67,17 @@
     asio::awaitable<bool> read_header();
     asio::awaitable<core::attempt_end> relay();
     asio::awaitable<bool> write_header();
-    asio::awaitable<bool> write_piece(const char* data, std::size_t size);
+    asio::awaitable<bool> write_piece(std::string_view bytes);
     /// Tells that a part of the answer was longer than it may be.
     void note_endless(std::string_view part);
-    void count_tokens(const char* data, std::size_t size);
+    /// Tells that the answer held something that is no event.
+    void note_malformed();
+    /// Whether the caller gets the answer in chunks.
+    [[nodiscard]] bool is_chunked() const;
+    /// Returns the events that these bytes of a stream complete.
+    std::string_view take_events(std::string_view bytes);
+    /// Whether the answer cannot go on after what has been read; tells why.
+    bool has_fault();
     [[nodiscard]] bool answers_this_request() const;
     [[nodiscard]] core::cost cost_so_far() const;
     [[nodiscard]] core::attempt_end unanswered_end() const;
@@ -92,13 +100,11 @@
     bool has_broken_ = false;
     bool has_terminated_ = false;
     bool event_stream_ = false;
-    bool previous_newline_ = false;
     std::uint64_t tokens_ = 0;
     std::uint64_t body_bytes_ = 0;
     /// Bytes of the body so far, framing included.
     std::uint64_t read_bytes_ = 0;
-    /// Of the event that is not complete yet.
-    std::uint64_t event_bytes_ = 0;
+    event_splitter events_;
     core::time_point started_;
     core::time_point first_token_;
     core::time_point last_token_;
--- a/packages/adapters/lib/event_block.cpp
+++ b/packages/adapters/lib/event_block.cpp
@@ -55,7 +55,7 @@
     {
         const auto first = static_cast<unsigned char>(text.front());
         const bool is_control =
-            (first < 0x20U && first != '\t' && first != '\n') || first == 0x7FU;
+            (first < 0x20U && first != '\t') || first == 0x7FU;
         const std::size_t length = is_control ? 0 : utf8_length(text);
         if (length == 0)
             return false;
@@ -102,7 +102,11 @@
     /// \return a fault that ends the block, or none.
     event_fault read_line(std::string_view line)
     {
+        if (dialect_.allows_carriage_returns && line.ends_with('\r'))
+            line.remove_suffix(1);
         const bool is_first = std::exchange(is_first_, false);
+        if (!is_text(line))
+            return event_fault::not_text;
         if (line.starts_with(':'))
             return event_fault::none;
         has_fields_ = true;
@@ -133,6 +137,8 @@
   private:
     event_fault read_id(std::string_view value)
     {
+        if (dialect_.ids == id_order::any)
+            return event_fault::none;
         if (id_)
             return event_fault::second_id;
         const std::optional<std::uint64_t> number = whole_number(value);
@@ -188,8 +194,6 @@
 {
     if (text.empty())
         return {event_fault::empty};
-    if (!is_text(text))
-        return {event_fault::not_text};
     block_reader reader(dialect);
     while (!text.empty())
     {
@@ -202,16 +206,19 @@
     return reader.result();
 }
 
-bool follows(event_id id, std::optional<event_id> last,
-             const event_dialect& dialect)
+event_fault check_order(std::optional<event_id> id,
+                        std::optional<event_id> last, id_order order)
 {
-    const auto number = static_cast<std::uint64_t>(id);
-    if (!last)
-        return !dialect.has_consecutive_ids || number == first_id;
-    const auto before = static_cast<std::uint64_t>(*last);
-    if (number <= before)
-        return false;
-    return !dialect.has_consecutive_ids || number - before == 1;
+    if (order == id_order::any)
+        return event_fault::none;
+    if (!id)
+        return event_fault::no_id;
+    const auto number = static_cast<std::uint64_t>(*id);
+    const auto before = last ? static_cast<std::uint64_t>(*last) : first_id - 1;
+    const bool grows = !last || number > before;
+    const bool is_next = grows && number - before == 1;
+    const bool follows = order == id_order::consecutive ? is_next : grows;
+    return follows ? event_fault::none : event_fault::unexpected_id;
 }
 
 } // namespace sycamorelock::adapters
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -66,6 +66,9 @@
     event_kind{1302, warn, "endpoint_endless",
                "A part of an endpoint's answer was longer than it may be; the "
                "connection was closed."},
+    event_kind{1303, warn, "event_malformed",
+               "An endpoint sent, within a stream, something that is no event; "
+               "`fault` tells what is wrong with it."},
     event_kind{
         1901, error, "invariant_answer_mixed",
         "An endpoint's answer named another request; it was not passed on."},
--- a/packages/adapters/lib/report.cpp
+++ b/packages/adapters/lib/report.cpp
@@ -148,6 +148,9 @@
            "Answers of endpoints that were given up, as a part of them was "
            "longer than it may be.",
            number(traffic.endpoint_endless));
+    single(out, "malformed_events_total", "counter",
+           "Pieces of streams that were no events.",
+           number(traffic.malformed_events));
     print(out, {&traffic.callers, &traffic.operators});
     single(out, "control_cpu_seconds_total", "counter",
            "Processor time of the control thread.", control.cpu_seconds());
--- a/packages/adapters/unittests/direct_test.cpp
+++ b/packages/adapters/unittests/direct_test.cpp
@@ -1,7 +1,7 @@
 // Events of a stream, and time limits.
-#include "sycamorelock/adapters/direct/event_stream.hpp"
 #include "sycamorelock/adapters/direct/traffic_metrics.hpp"
 #include "sycamorelock/adapters/direct/watchdog.hpp"
+#include "sycamorelock/adapters/event_stream.hpp"
 
 #include <criterion/criterion.h>
 
@@ -9,6 +9,7 @@
 
 using namespace sycamorelock::adapters::direct;
 using sycamorelock::adapters::event_id;
+using sycamorelock::adapters::event_splitter;
 namespace core = sycamorelock::core;
 
 Test(event_stream, only_complete_events_come_out)
--- a/packages/adapters/unittests/event_stream_test.cpp
+++ b/packages/adapters/unittests/event_stream_test.cpp
@@ -1,7 +1,7 @@
 // What of a stream's bytes is passed on.
 #include "drawn_bytes.hpp"
 
-#include "sycamorelock/adapters/direct/event_stream.hpp"
+#include "sycamorelock/adapters/event_stream.hpp"
 
 #include <criterion/criterion.h>
 
@@ -10,14 +10,15 @@
 #include <vector>
 
 using namespace sycamorelock::adapters;
-using direct::event_splitter;
 
 namespace
 {
 
 constexpr event_dialect numbered{.leading_field = "release",
-                                 .has_consecutive_ids = true};
+                                 .ids = id_order::consecutive};
 constexpr event_dialect growing{};
+constexpr event_dialect without_ids{.ids = id_order::any,
+                                    .allows_carriage_returns = true};
 
 struct block_case
 {
@@ -102,6 +103,40 @@
     }
 }
 
+// Guards against sound events of endpoints that number none, or end lines as
+// HTTP does, that are taken for garbage, and garbage that is not.
+Test(event_stream, events_without_ids_are_read_where_endpoints_number_none)
+{
+    using enum event_fault;
+    const std::vector<block_case> cases{
+        {"data: x\n\n", none},
+        {"data: x\r\n\r\n", none},
+        {"data: x\r\n\n", none},
+        {"data: x\n\r\n", none},
+        {"id: any\ndata: x\n\n", none},
+        {"data: x\ry\n\n", not_text},
+        {"\r\n\r\n", unknown_field},
+        {"\n\n", empty},
+        {"garbage\r\n\r\n", unknown_field},
+        {"id: 1\n\n", no_data},
+    };
+    for (const block_case& each : cases)
+    {
+        // Also if each byte comes alone.
+        event_splitter at_once(without_ids, std::nullopt);
+        event_splitter one_by_one(without_ids, std::nullopt);
+        std::string out;
+        for (const char& byte : std::string_view(each.text))
+            out += one_by_one.feed({&byte, 1});
+        const std::string all(at_once.feed(each.text));
+        cr_expect_eq(at_once.fault(), each.fault, "%s", each.text);
+        cr_expect_eq(one_by_one.fault(), each.fault, "%s", each.text);
+        cr_expect(all == out && all == (each.fault == none ? each.text : ""),
+                  "%s", each.text);
+        cr_expect_eq(at_once.count(), each.fault == none ? 1U : 0U);
+    }
+}
+
 // Guards against pieces that come twice or are left out: an id was believed
 // whatever it was.
 Test(event_stream, an_event_has_the_id_that_follows)
--- a/test/integration/garbage_test.cpp
+++ b/test/integration/garbage_test.cpp
@@ -3,6 +3,7 @@
 // next one.
 #include "direct_checks.hpp"
 #include "drawn_bytes.hpp"
+#include "plans.hpp"
 
 #include <atomic>
 #include <random>
@@ -235,3 +236,37 @@
                   how, got.body.c_str());
     }
 }
+
+// Guards against garbage that scheduled routing passed on and charged as
+// tokens.
+Test(garbage, a_scheduled_stream_is_cut_before_garbage)
+{
+    const std::vector<std::pair<const char*, std::string>> shapes{
+        {"text", "garbage\n\n"},
+        {"bytes above 127", "\xff\xfe\x80\x81\xc3\n\n"},
+        {"an answer", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok\n\n"},
+        {"empty lines", "\n\n\n\n"},
+        {"a name without a colon", "data\n\n"},
+        {"no data", "id: 3\n\n"},
+        {"the beginning of an event", "data: x\n"},
+    };
+    for (const auto& [name, bytes] : shapes)
+    {
+        // Of its own, as endpoints that fail are ejected.
+        fleet running(usual_plan(1));
+        const call made = running.make_call(0, "north", "planner");
+        const std::string sound =
+            "data: " + made.mark + " 0\n\ndata: " + made.mark + " 1\n\n";
+        std::ostringstream answer_text;
+        answer_text << "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n"
+                    << std::hex << sound.size() + bytes.size() << "\r\n"
+                    << sound << bytes << "\r\n0\r\n\r\n";
+        for (const auto& each : running.endpoints("planner"))
+            each->set_endless({answer_text.str(), "z"});
+        const answer got = ask_now(made);
+        cr_expect_eq(got.status, 200U, "%s: status %u", name, got.status);
+        cr_expect(got.body == sound, "%s: %s", name, got.body.c_str());
+        cr_expect_not(got.ended, "%s", name);
+    }
+}
--- a/test/standins/caller.cpp
+++ b/test/standins/caller.cpp
@@ -145,8 +145,9 @@
     }
     result.body = parser.get().body();
     result.seconds = seconds_since(start);
+    result.ended = parser.is_done();
     if (result.status == 200)
-        check(what, result, parser.is_done());
+        check(what, result, result.ended);
     else
         read_refusal(result);
     co_return result;
--- a/test/standins/caller.hpp
+++ b/test/standins/caller.hpp
@@ -29,6 +29,8 @@
     /// The answer ended as HTTP says, carries only the call's mark and, when
     /// streamed, the right checksum.
     bool whole = false;
+    /// The answer ended as HTTP says.
+    bool ended = false;
     /// Something in it belongs to another call.
     bool foreign = false;
     long tokens = 0;
