Failing tests: streams that their endpoint calls otherwise, joined answers, used connections

What the review of the fix found from reading: a success on a route of streams is passed on unread if its endpoint calls it text; an empty answer without a length ends the stream that another endpoint began; a stream goes on behind a long answer that is none; a connection is used again after garbage.

--- a/test/standins/direct_engine.hpp
+++ b/test/standins/direct_engine.hpp
@@ -58,6 +58,11 @@
     std::function<std::string(const std::string&)> spoil;
     /// Sent in chunks; otherwise it ends with its connection.
     bool framed = true;
+    /// The connection ends before the body does.
+    bool cut = false;
+    std::string status = "200 OK";
+    /// What the endpoint calls it; empty for nothing.
+    std::string content_type = "text/event-stream";
 };
 
 /// Which requests crash an endpoint, and for how long it is down then. It comes
