Streams: a success on a route of streams is one, whatever its endpoint calls it

What callers would see: garbage in an answer that looks whole, on any route of streams, if the endpoint calls it text or nothing: it was collected and passed on unread. On other routes, events were held to ids that nothing asks of them. Now the route decides; a success that is not called an event stream there ends the attempt (no_event_stream). A HEAD gets no body there, as its answer is no stream.

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -64,6 +64,13 @@
                     milliseconds(std::chrono::seconds(seconds)) - idle_margin);
 }
 
+bool is_event_stream(const http::fields& header)
+{
+    static constexpr std::string_view media_type = "text/event-stream";
+    const std::string_view type = header[http::field::content_type];
+    return beast::iequals(type.substr(0, media_type.size()), media_type);
+}
+
 milliseconds left_until(core::time_point deadline)
 {
     return std::chrono::duration_cast<milliseconds>(deadline - now());
@@ -550,10 +557,9 @@
         !request_.profile.route_config->repeatable())
         co_return stopped("unmarked_refusal");
     answers_ = true;
-    has_events_ =
-        http::to_status_class(header.result_int()) ==
-            http::status_class::successful &&
-        header[http::field::content_type].starts_with("text/event-stream");
+    has_events_ = must_be_stream(header);
+    if (has_events_ && !is_event_stream(header))
+        co_return stopped("no_event_stream");
     if (!has_events_ && out_.begun())
         co_return stopped("answer_without_events");
     if (status_ < first_server_error)
@@ -577,6 +583,15 @@
     co_return std::nullopt;
 }
 
+bool attempt::must_be_stream(const http::response_header<>& header) const
+{
+    return request_.profile.route_config->kind ==
+               core::direct::route_kind::stream &&
+           request_.message.method() != http::verb::head &&
+           http::to_status_class(header.result_int()) ==
+               http::status_class::successful;
+}
+
 void attempt::note_first()
 {
     if (first_at_ != core::time_point())
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -133,6 +133,10 @@
     /// Reads as far as the answer's body; returns how the attempt ends if there
     /// is none to pass on.
     asio::awaitable<std::optional<attempt_end>> begin_answer();
+    /// Whether an answer has to be a stream of events: a success on a route of
+    /// streams, whatever the endpoint calls it.
+    [[nodiscard]] bool
+    must_be_stream(const http::response_header<>& header) const;
     asio::awaitable<attempt_end> relay_events();
     /// Why the stream cannot go on after what has been read; empty if it can.
     std::string_view stream_fault();
