Streams: they neither end at nor follow an answer that is no part of them

What callers would see: a stream that looks whole after five of ten events, since the next endpoint sent a success without a length and closed before its first event; events behind the beginning of a long error page that broke off. Cause: events of all attempts were counted where those of one matter, and whatever was passed on counted as the beginning of a stream.

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -580,6 +580,7 @@
         out_.begin(copied, status_of(header));
     }
     events_.drop_rest();
+    events_before_ = events_.count();
     co_return std::nullopt;
 }
 
@@ -634,9 +635,9 @@
         return {};
     if (events_.torn())
         return "event_cut";
-    // Without a length, an endpoint that crashed before the first event looks
+    // Without a length, an endpoint that crashed before its first event looks
     // like one that had nothing to send.
-    const bool is_empty = events_.count() == 0 && !request_.meta.last_event;
+    const bool is_empty = events_.count() == events_before_;
     return parser_->need_eof() && is_empty ? "stream_cut" : "";
 }
 
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -187,6 +187,8 @@
     std::uint64_t read_bytes_ = 0;
     /// Part of the answer that was longer than it may be; empty for none.
     std::string_view endless_;
+    /// Events of the stream that earlier attempts brought.
+    std::uint64_t events_before_ = 0;
     held_answer held_;
     watchdog::limit silence_;
     /// Time within which something is expected of the endpoint; zero for none.
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -589,7 +589,10 @@
         return none("attempts_spent");
     if (request.may_have_run && !route_config.repeatable())
         return none("not_repeatable");
-    if (after == attempt_end::broken && !route_config.resumable)
+    // What was passed on is no stream if no event was.
+    const bool may_resume =
+        route_config.resumable && request.events.count() > 0;
+    if (after == attempt_end::broken && !may_resume)
         return none("not_resumable");
     if (request.is_probe || is_quarantined(request))
         return none(to_string(refusal::quarantined));
