Streams: a connection is not used again after garbage

If the end of the body came in the same read, the connection counted as clean and the next request met whatever else its endpoint sends. The same after the beginning of an event at the end of a body, which is also no evidence against the request, as nothing broke.

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -634,7 +634,11 @@
     if (!parser_->is_done())
         return {};
     if (events_.torn())
+    {
+        // The end of a connection may be a crash, that of a body is none.
+        malformed_ = !parser_->need_eof();
         return "event_cut";
+    }
     // Without a length, an endpoint that crashed before its first event looks
     // like one that had nothing to send.
     const bool is_empty = events_.count() == events_before_;
@@ -720,10 +724,10 @@
     if (!channel_)
         return;
     // Not reused after anything odd: unread bytes, an unfinished request, an
-    // answer that ends with its connection.
-    const bool clean = !abandoned_ && !silent_ && sent_ && *sent_ && parser_ &&
-                       parser_->is_done() && parser_->keep_alive() &&
-                       channel_->buffer.size() == 0;
+    // answer that ends with its connection, a stream that was none.
+    const bool clean = !abandoned_ && !silent_ && !malformed_ && sent_ &&
+                       *sent_ && parser_ && parser_->is_done() &&
+                       parser_->keep_alive() && channel_->buffer.size() == 0;
     if (!clean)
     {
         error_code ignored;
