--- a/test/standins/direct_engine.cpp
+++ b/test/standins/direct_engine.cpp
@@ -359,7 +359,8 @@
     long whole = 0;
     const bool sent =
         co_await send(stream, std::move(bytes), answer_fault::none, whole);
-    co_return sent&& what.framed && !what.cut;
+    const bool stays_open = what.framed && !what.cut;
+    co_return stays_open ? sent : false;
 }
 
 asio::awaitable<bool> direct_engine::answer(beast::tcp_stream& stream,
