Reports: an entry that names no endpoint is refused

An instance kept what another instance told of an endpoint as it was: an address that is none, no slots, or a name with line ends. A request for such an endpoint ended with an exception of parse_address, and a name with line ends would add lines to the header of each request for it. Entries that are read from the store were checked for address and slots, copies were not.

decode_endpoint now has the same bounds as the reader of the store, so nothing that passes can fail later. The whole report is refused, as for a version that is too long.

--- a/packages/wire/lib/exchange_codec.cpp
+++ b/packages/wire/lib/exchange_codec.cpp
@@ -2,9 +2,13 @@
 #include "sycamorelock/wire/exchange_codec.hpp"
 
 #include "generated/exchange.pb.h"
+#include "sycamorelock/core/direct/endpoint_name.hpp"
 #include "tag.hpp"
 
+#include <boost/asio/ip/address_v4.hpp>
+
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <limits>
 #include <map>
@@ -140,6 +144,48 @@
     }
 }
 
+bool is_address(const std::string& text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return false;
+    boost::system::error_code error;
+    boost::asio::ip::make_address_v4(text.substr(0, colon), error);
+    std::uint16_t port = 0;
+    const char* end = text.data() + text.size();
+    const auto [stop, wrong] =
+        std::from_chars(text.data() + colon + 1, end, port);
+    return !error && wrong == std::errc() && stop == end && port != 0;
+}
+
+/// The same bounds as for an entry that this instance reads from the store.
+direct::endpoint_record decode_endpoint(const pb::EndpointEntry& entry)
+{
+    static constexpr std::uint32_t most_slots = 1'000'000;
+    // The end of the year 9999.
+    static constexpr std::uint64_t latest_ms = 253'402'300'799'999;
+    if (!direct::is_endpoint_name(entry.boot()))
+        throw decode_error("a name that no endpoint can have");
+    if (!is_address(entry.address()))
+        throw decode_error("an address is no IP:port");
+    if (entry.slots() == 0 || entry.slots() > most_slots)
+        throw decode_error("slots out of range");
+    if (entry.started_ms() > latest_ms)
+        throw decode_error("a start time is out of range");
+    if (entry.version().size() > direct::max_version_bytes)
+        throw decode_error("a version is too long");
+    return {entry.boot(),
+            core::service_id(entry.service()),
+            entry.address(),
+            core::domain_id(entry.domain()),
+            entry.slots(),
+            entry.draining(),
+            entry.revision(),
+            entry.started_ms(),
+            std::chrono::milliseconds(entry.warmup_left_ms()),
+            entry.version()};
+}
+
 direct::store_view decode_store(const pb::StoreView& item)
 {
     direct::store_view view;
@@ -155,16 +201,7 @@
         return view;
     std::vector<direct::endpoint_record>& all = view.endpoints.emplace();
     for (const pb::EndpointEntry& entry : item.endpoints())
-    {
-        if (entry.version().size() > direct::max_version_bytes)
-            throw decode_error("a version is too long");
-        all.push_back({entry.boot(), core::service_id(entry.service()),
-                       entry.address(), core::domain_id(entry.domain()),
-                       entry.slots(), entry.draining(), entry.revision(),
-                       entry.started_ms(),
-                       std::chrono::milliseconds(entry.warmup_left_ms()),
-                       entry.version()});
-    }
+        all.push_back(decode_endpoint(entry));
     return view;
 }
 
