Versions: one that is cut stays text

If the version of one endpoint was longer than 64 bytes and had a character beyond ASCII where it is cut, instances could not read each other's copies of the store's entries: the whole report was refused as malformed, so an instance without the store had no endpoints. The version is cut by bytes, the fields of reports are UTF-8, and protobuf refuses a message in which one is not.

bounded_version now cuts before the character.

--- a/packages/core/lib/direct/release.cpp
+++ b/packages/core/lib/direct/release.cpp
@@ -26,6 +26,12 @@
     return value;
 }
 
+/// Whether a byte is not the first of its UTF-8 character.
+bool continues_character(char byte)
+{
+    return (static_cast<unsigned char>(byte) & 0xC0U) == 0x80U;
+}
+
 } // namespace
 
 release_id release_of(service_id service, std::string_view version)
@@ -49,7 +55,10 @@
     std::array<char, 2 * sizeof(std::uint64_t) + 2> digest{};
     std::snprintf(digest.data(), digest.size(), "#%016llx",
                   static_cast<unsigned long long>(digest_of(version)));
-    const std::size_t prefix_bytes = max_version_bytes + 1 - digest.size();
+    std::size_t prefix_bytes = max_version_bytes + 1 - digest.size();
+    // Reports hold it as text, so no UTF-8 character may be cut.
+    while (prefix_bytes > 0 && continues_character(version[prefix_bytes]))
+        --prefix_bytes;
     return std::string(version.substr(0, prefix_bytes)) + digest.data();
 }
 
--- a/packages/wire/unittests/drawn_messages_test.cpp
+++ b/packages/wire/unittests/drawn_messages_test.cpp
@@ -294,3 +294,21 @@
     }
     cr_expect_gt(read, 0);
 }
+
+// Guards against reports that no instance can read, as the version of one
+// endpoint was cut within a character.
+Test(drawn_messages, a_cut_version_can_be_told)
+{
+    for (std::size_t before = 0; before < direct::max_version_bytes; ++before)
+    {
+        direct::exchange_report report = sound_report();
+        std::string version(before, 'v');
+        for (std::size_t i = 0; i < direct::max_version_bytes; ++i)
+            version += i % 2 == 0 ? "\xc3\xa9" : "\xf0\x9f\x8d\x81";
+        report.store.endpoints->at(0).version =
+            direct::bounded_version(version);
+        const std::string bytes = wire::encode_report(report, std::string(key));
+        cr_expect_no_throw(wire::decode_report(bytes, key), wire::decode_error,
+                           "%zu", before);
+    }
+}
