Direct routing: an answer has to be shown to be the request's

Callers got another caller's answer (a 200 without Attempt-Id, MIXED), or a 503 for a request that ran, and with a second endpoint it ran there too (TWICE): an endpoint had sent bytes of no request where the answer was due.

Cause: attempt::read_header took each answer that names no request for the present one's, and release kept a connection after such an answer, so that a late copy of it met the next request.

Now a success has to name its request, or the attempt has failed. Refusals need no name, as the contract shows them without one, but a connection with an unnamed answer is not used again: an extra answer on a connection that is used again names its request. There, an unnamed refusal or success behind which bytes are there already is skipped.

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -441,17 +441,17 @@
         }
         const answer_meta meta =
             context_.dialect.read_answer(header, header.result_int());
-        note_endpoint(meta);
-        const bool other = !meta.attempt_id.empty() &&
-                           meta.attempt_id != request_.meta.attempt_id;
-        if (!other)
+        const bool late = is_late(meta);
+        const bool stray = !late && co_await is_stray(meta);
+        if (!stray)
+            note_endpoint(meta);
+        if (!late && !stray)
+        {
+            is_named_ = !meta.attempt_id.empty();
             co_return meta;
-        // A late answer to an earlier request on this connection.
-        context_.log.write(direct_event::foreign_answer,
-                           {{"request", request_.meta.attempt_id},
-                            {"answers", std::string(meta.attempt_id)},
-                            {"endpoint", placed_.endpoint.boot}});
-        if (!co_await skip_answer())
+        }
+        note_foreign(meta);
+        if (late && !co_await skip_answer())
             co_return std::nullopt;
         parser_.reset();
     }
@@ -459,6 +459,44 @@
     co_return std::nullopt;
 }
 
+bool attempt::is_late(const answer_meta& answer) const
+{
+    return !answer.attempt_id.empty() &&
+           answer.attempt_id != request_.meta.attempt_id;
+}
+
+asio::awaitable<bool> attempt::is_stray(const answer_meta& answer)
+{
+    // An answer that is passed on with its body cannot be read ahead, and
+    // nothing follows one that ends with its connection.
+    const bool bodiless = answer.not_run || is_unnamed_success(answer);
+    if (!is_reused_ || !answer.attempt_id.empty() || !bodiless ||
+        parser_->need_eof())
+        co_return false;
+    if (!co_await skip_answer())
+        co_return false;
+    // An endpoint sends nothing after its answer until it is asked again.
+    co_return channel_->buffer.size() > 0 ||
+        look_at(channel_->socket) == socket_state::readable;
+}
+
+bool attempt::is_unnamed_success(const answer_meta& answer) const
+{
+    return http::to_status_class(parser_->get().result_int()) ==
+               http::status_class::successful &&
+           answer.attempt_id != request_.meta.attempt_id;
+}
+
+void attempt::note_foreign(const answer_meta& answer)
+{
+    context_.log.write(direct_event::foreign_answer,
+                       {{"request", request_.meta.attempt_id},
+                        {"answers", std::string(answer.attempt_id.empty()
+                                                    ? std::string_view("none")
+                                                    : answer.attempt_id)},
+                        {"endpoint", placed_.endpoint.boot}});
+}
+
 asio::awaitable<bool> attempt::skip_answer()
 {
     std::size_t skipped = 0;
@@ -544,6 +582,8 @@
         why_ = "declined";
         co_return attempt_end::not_run;
     }
+    if (is_unnamed_success(*meta))
+        co_return stopped("unnamed_answer");
     // Only the mark tells that an endpoint did not run the request. Callers
     // repeat what may run often anyway.
     if (promises_no_run(status_) &&
@@ -704,10 +744,11 @@
     if (!channel_)
         return;
     // Not reused after anything odd: unread bytes, an unfinished request, an
-    // answer that ends with its connection.
+    // answer that ends with its connection, or one whose late copy could not be
+    // told from the next answer.
     const bool clean = !abandoned_ && !silent_ && sent_ && *sent_ && parser_ &&
                        parser_->is_done() && parser_->keep_alive() &&
-                       channel_->buffer.size() == 0;
+                       channel_->buffer.size() == 0 && is_named_;
     if (!clean)
     {
         error_code ignored;
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -127,6 +127,14 @@
     /// Header of the answer to this request, which the parser then holds;
     /// nothing if there is none.
     asio::awaitable<std::optional<answer_meta>> read_header();
+    /// Whether it names another request than the present one.
+    [[nodiscard]] bool is_late(const answer_meta& answer) const;
+    /// Whether it names no request and is not the present one's, because
+    /// another answer follows it.
+    asio::awaitable<bool> is_stray(const answer_meta& answer);
+    [[nodiscard]] bool is_unnamed_success(const answer_meta& answer) const;
+    /// Tells of an answer that was skipped.
+    void note_foreign(const answer_meta& answer);
     asio::awaitable<bool> skip_answer();
     asio::awaitable<error_code> read_piece();
     asio::awaitable<attempt_end> read_answer();
@@ -202,6 +210,8 @@
     bool has_terminated_ = false;
     /// The connection had been used before.
     bool is_reused_ = false;
+    /// The answer names the request.
+    bool is_named_ = false;
     bool malformed_ = false;
     bool silent_ = false;
     bool waits_ = false;
--- a/test/integration/refused_test.cpp
+++ b/test/integration/refused_test.cpp
@@ -261,3 +261,81 @@
     cr_expect_eq(fleet.runs_of(order.id), 1);
     cr_expect(!promises_no_run(got.status), "status %u", got.status);
 }
+
+// Fault: the same with other answers that name no request, and the caller gets
+// one of them, or none, although its own answer came right after.
+Test(refused, a_stray_answer_on_a_used_connection_costs_its_caller_nothing)
+{
+    for (const answer_fault stray :
+         {answer_fault::stray_refusal, answer_fault::stray_misdirection,
+          answer_fault::stray_success})
+    {
+        direct_plan plan;
+        plan.instances = 1;
+        plan.plain = 1;
+        direct_fleet fleet(plan);
+        cr_expect_eq(ask(fleet.make_call(0, "/order/x")).status, 200U);
+        fleet.plain(0).set_fault(stray);
+        const direct_call order = fleet.make_call(0, "/order/x");
+        const direct_answer got = ask(order);
+        cr_expect_eq(fleet.runs_of(order.id), 1);
+        cr_expect_eq(got.status, 200U, "status %u", got.status);
+        cr_expect(got.body == "answer to " + order.id);
+    }
+}
+
+// Fault: an endpoint sends its refusal of an earlier request once more, and
+// runs the present one meanwhile.
+Test(refused, a_second_copy_of_a_refusal_is_no_answer)
+{
+    direct_plan plan;
+    plan.instances = 1;
+    plan.plain = 1;
+    direct_fleet fleet(plan);
+    fleet.plain(0).set_fault(answer_fault::declines);
+    cr_expect_eq(ask(fleet.make_call(0, "/order/x")).status, 503U);
+    fleet.plain(0).set_fault(answer_fault::repeated_refusal);
+    const direct_call order = fleet.make_call(0, "/order/x");
+    const direct_answer got = ask(order);
+    cr_expect_eq(fleet.runs_of(order.id), 1);
+    cr_expect_eq(got.status, 200U, "status %u", got.status);
+}
+
+// Fault: a success that names no request is passed on to the caller that
+// waits, on a new connection or a used one.
+Test(refused, a_success_that_names_no_request_is_no_answer)
+{
+    for (const bool is_used : {false, true})
+    {
+        direct_plan plan;
+        plan.instances = 1;
+        plan.plain = 1;
+        direct_fleet fleet(plan);
+        if (is_used)
+            cr_expect_eq(ask(fleet.make_call(0, "/order/x")).status, 200U);
+        fleet.plain(0).set_fault(answer_fault::unnamed);
+        const direct_call order = fleet.make_call(0, "/order/x");
+        const direct_answer got = ask(order);
+        cr_expect_eq(fleet.runs_of(order.id), 1);
+        cr_expect_eq(got.status, 502U, "status %u", got.status);
+    }
+}
+
+// A refusal that names no request is still passed on if nothing follows it,
+// also on a connection that was used before.
+Test(refused, a_refusal_without_a_name_stays_a_refusal)
+{
+    direct_plan plan;
+    plan.instances = 1;
+    plan.plain = 1;
+    direct_fleet fleet(plan);
+    for (int i = 0; i < 3; ++i)
+    {
+        fleet.plain(0).set_fault(answer_fault::none);
+        cr_expect_eq(ask(fleet.make_call(0, "/order/x")).status, 200U);
+        fleet.plain(0).set_fault(answer_fault::declines);
+        const direct_call order = fleet.make_call(0, "/order/x");
+        cr_expect_eq(ask(order).status, 503U);
+        cr_expect_eq(fleet.runs_of(order.id), 0);
+    }
+}
--- a/test/standins/direct_engine.cpp
+++ b/test/standins/direct_engine.cpp
@@ -34,6 +34,18 @@
         std::strtod(retry_after.c_str(), nullptr) * ms_per_second));
 }
 
+constexpr const char* refusal_bytes =
+    "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+    "Content-Length: 0\r\n\r\n";
+/// From a repeated refusal to the answer.
+constexpr std::chrono::milliseconds answer_later{200};
+
+std::uint16_t port_of(const beast::tcp_stream& stream)
+{
+    error_code error;
+    return stream.socket().remote_endpoint(error).port();
+}
+
 long number_of(const request& asked, const char* name)
 {
     const std::string text(asked[name]);
@@ -360,6 +372,47 @@
     co_return sent&& what.framed;
 }
 
+std::string direct_engine::unnamed_bytes(answer_fault fault,
+                                         const std::string& answer)
+{
+    static const std::string success =
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nof nobody";
+    switch (fault)
+    {
+    case answer_fault::stray_refusal:
+        return refusal_bytes + answer;
+    case answer_fault::stray_misdirection:
+        return "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n" +
+               answer;
+    case answer_fault::stray_success:
+        return success + answer;
+    case answer_fault::unnamed:
+        return success;
+    default:
+        return {};
+    }
+}
+
+asio::awaitable<bool>
+direct_engine::send_after_refusal(beast::tcp_stream& stream,
+                                  std::string own_answer)
+{
+    bool declined = false;
+    {
+        const std::lock_guard lock(mutex_);
+        declined = declined_from_.contains(port_of(stream));
+    }
+    long whole = 0;
+    if (declined)
+    {
+        std::string again = refusal_bytes;
+        co_await send(stream, std::move(again), answer_fault::none, whole);
+        co_await sleep_for(answer_later);
+    }
+    co_return co_await send(stream, std::move(own_answer), answer_fault::none,
+                            whole);
+}
+
 asio::awaitable<bool> direct_engine::answer(beast::tcp_stream& stream,
                                             request asked)
 {
@@ -396,6 +449,10 @@
         full.set("Not-Executed", "1");
         if (!rest.empty())
             full.set(http::field::retry_after, rest);
+        {
+            const std::lock_guard lock(mutex_);
+            declined_from_.insert(port_of(stream));
+        }
         co_return co_await write(stream, std::move(full), asked);
     }
     run.at = std::chrono::steady_clock::now();
@@ -433,15 +490,12 @@
         more =
             co_await send(stream, std::move(bytes), answer_fault::none, whole);
     }
-    else if (fault == answer_fault::stray_refusal)
-    {
-        std::string bytes =
-            "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
-            "Content-Length: 0\r\n\r\n" +
-            own_answer;
+    else if (fault == answer_fault::repeated_refusal)
+        more = co_await send_after_refusal(stream, own_answer);
+    else if (std::string strays = unnamed_bytes(fault, own_answer);
+             !strays.empty())
         more =
-            co_await send(stream, std::move(bytes), answer_fault::none, whole);
-    }
+            co_await send(stream, std::move(strays), answer_fault::none, whole);
     else if (fault == answer_fault::spoiled && events_ > 0)
         more = co_await send_spoiled(stream, run);
     else if (fault != answer_fault::lost && events_ > 0)
--- a/test/standins/direct_engine.hpp
+++ b/test/standins/direct_engine.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace standin
@@ -34,6 +35,15 @@
     extra,
     /// Sends before its answer a refusal that names no request.
     stray_refusal,
+    /// The same with a misdirection.
+    stray_misdirection,
+    /// The same with a success.
+    stray_success,
+    /// Answers with a success that names no request.
+    unnamed,
+    /// Sends its refusal once more on the connection of a request that it
+    /// declined, and its answer to the present one later.
+    repeated_refusal,
     /// Sends without end, see `set_endless`.
     endless,
     /// Changes the body of its stream, see `set_spoiled`.
@@ -147,6 +157,8 @@
     asio::awaitable<bool> stream_events(beast::tcp_stream& stream,
                                         const engine_run& run,
                                         answer_fault fault);
+    asio::awaitable<bool> send_after_refusal(beast::tcp_stream& stream,
+                                             std::string own_answer);
     asio::awaitable<bool> send_spoiled(beast::tcp_stream& stream,
                                        const engine_run& run);
     [[nodiscard]] bool crashes_under(const engine_run& run, long event) const;
@@ -155,6 +167,9 @@
     /// Header of an answer of its own to a request, up to its framing.
     [[nodiscard]] std::string header(const std::string& attempt_id,
                                      const char* status) const;
+    /// What a fault of bytes that belong to no request sends.
+    [[nodiscard]] static std::string unnamed_bytes(answer_fault fault,
+                                                   const std::string& answer);
     [[nodiscard]] std::string plain_answer(const std::string& attempt_id) const;
     /// An answer that tells nothing of a run.
     [[nodiscard]] response refusal(http::status status) const;
@@ -183,6 +198,8 @@
     std::atomic<std::size_t> endless_sent_{0};
     spoiled_stream spoiled_;
     std::string answer_before_;
+    /// Callers' ports of connections on which it declined.
+    std::set<std::uint16_t> declined_from_;
     std::optional<crash_rule> crash_rule_;
     std::function<void(const std::string&)> on_crash_change_;
     std::vector<endpoint_crash> crashes_;
