--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -127,8 +127,8 @@
     event_kind{3004, info, "attempt_repeated",
                "An attempt failed and the request goes to another endpoint."},
     event_kind{3005, warn, "foreign_answer",
-               "An endpoint sent an answer to another request; it was "
-               "skipped."},
+               "An endpoint sent an answer to another request, or to none; it "
+               "was skipped."},
     event_kind{3006, info, "request_rejected",
                "The configuration in force does not allow a request, or there "
                "is none yet."},
