--- a/test/integration/silence_test.cpp
+++ b/test/integration/silence_test.cpp
@@ -286,15 +286,16 @@
 {
     static constexpr std::size_t size = 400 * 1024;
     direct_plan plan = one_endpoint_each();
-    plan.engines = 2;
-    plan.events = 0;
+    plan.plain = 2;
     direct_fleet fleet(plan);
+    // Longer than 2.5 times the objective of the route, 150 ms, and shorter
+    // than its limit, 1,500 ms.
     for (std::size_t i = 0; i < 2; ++i)
     {
-        fleet.engine(i).set_padding(size);
-        fleet.engine(i).set_pieces(16 * 1024, milliseconds(60));
+        fleet.plain(i).set_padding(size);
+        fleet.plain(i).set_pieces(16 * 1024, milliseconds(25));
     }
-    const direct_call asked = fleet.make_call(0);
+    const direct_call asked = fleet.make_call(0, "/look/x");
     const direct_answer got = ask(asked);
     cr_expect_eq(got.status, 200U);
     cr_expect(got.whole, "%zu bytes", got.body.size());
