Comments: which failures the new tests guard against, in plain terms

Comments only. A line that told the effect of an address in a report from reading alone is gone; the tests of answers without a name say which rule they guard.

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -675,7 +675,8 @@
         return {};
     if (events_.torn())
     {
-        // The end of a connection may be a crash, that of a body is none.
+        // An endpoint that ends the body has not crashed; one that closes the
+        // connection may have.
         malformed_ = !parser_->need_eof();
         return "event_cut";
     }
@@ -708,7 +709,7 @@
             if (request_.secure_next && awaited_ != pause)
                 expect_within(pause);
         }
-        // Also before a fault: another endpoint goes on after the last event.
+        // Also before a fault: another endpoint continues after these events.
         if ((!whole.empty() || done) && co_await pass_on(whole, done))
         {
             why_ = "write_failed";
--- a/packages/adapters/lib/endpoint_call.cpp
+++ b/packages/adapters/lib/endpoint_call.cpp
@@ -26,7 +26,7 @@
 /// Rough size of a token in an answer that is not streamed as events.
 constexpr std::uint64_t bytes_per_token = 4;
 
-/// Endpoints number no events.
+/// Endpoints do not number events.
 constexpr event_dialect event_form{.ids = id_order::any,
                                    .allows_carriage_returns = true};
 
@@ -324,7 +324,7 @@
                 std::chrono::duration<double>(received - context_.accepted)
                     .count());
         first = false;
-        // Also what precedes a fault.
+        // Also before a fault: these events are complete.
         if (!co_await write_piece(bytes_read))
             co_return attempt_end::caller_left;
         if (ends_here)
--- a/packages/adapters/unittests/event_stream_test.cpp
+++ b/packages/adapters/unittests/event_stream_test.cpp
@@ -194,8 +194,8 @@
 }
 
 // Load: streams of ten events, changed and cut to pieces by seed. Guards
-// against bytes that nobody thought of; what has the form of the next event
-// cannot be told from it.
+// against unforeseen bytes; what has the form of the next event cannot be told
+// from it.
 Test(event_stream, drawn_bytes_never_bring_an_event_that_is_not_the_next)
 {
     static constexpr std::uint64_t seeds = 50;
--- a/packages/wire/unittests/drawn_messages_test.cpp
+++ b/packages/wire/unittests/drawn_messages_test.cpp
@@ -208,7 +208,7 @@
 } // namespace
 
 // Guards against a report that is believed although a figure or an entry in it
-// is none: a request for an address that is none ended with an exception.
+// is out of range.
 Test(drawn_messages, a_report_is_refused_or_within_its_ranges)
 {
     const std::string sound =
--- a/test/integration/garbage_test.cpp
+++ b/test/integration/garbage_test.cpp
@@ -318,7 +318,7 @@
 }
 
 // Load: bytes drawn by seed, put in, taken out, repeated or exchanged at any
-// place of a body. Guards against ORDER for bytes that nobody thought of.
+// place of a body. Guards against ORDER for unforeseen bytes.
 Test(garbage, drawn_bytes_never_bring_an_event_that_is_not_the_next)
 {
     static constexpr std::uint64_t seed = 68;
--- a/test/integration/refused_test.cpp
+++ b/test/integration/refused_test.cpp
@@ -262,8 +262,8 @@
     cr_expect(!promises_no_run(got.status), "status %u", got.status);
 }
 
-// Fault: the same with other answers that name no request, and the caller gets
-// one of them, or none, although its own answer came right after.
+// Guards against MIXED and a lost answer: one that names no request is taken
+// for the present request's, whose own answer follows.
 Test(refused, a_stray_answer_on_a_used_connection_costs_its_caller_nothing)
 {
     for (const answer_fault stray :
@@ -284,8 +284,8 @@
     }
 }
 
-// Fault: an endpoint sends its refusal of an earlier request once more, and
-// runs the present one meanwhile.
+// Guards against TWICE: a second copy of an earlier refusal is taken for the
+// answer to a request that runs.
 Test(refused, a_second_copy_of_a_refusal_is_no_answer)
 {
     direct_plan plan;
@@ -301,8 +301,8 @@
     cr_expect_eq(got.status, 200U, "status %u", got.status);
 }
 
-// Fault: a success that names no request is passed on to the caller that
-// waits, on a new connection or a used one.
+// Guards against MIXED: a success that names no request is passed on, on a new
+// connection or a used one.
 Test(refused, a_success_that_names_no_request_is_no_answer)
 {
     for (const bool is_used : {false, true})
@@ -321,8 +321,8 @@
     }
 }
 
-// A refusal that names no request is still passed on if nothing follows it,
-// also on a connection that was used before.
+// Guards against true refusals that become 502: one that names no request holds
+// if nothing follows it, also on a connection that was used before.
 Test(refused, a_refusal_without_a_name_stays_a_refusal)
 {
     direct_plan plan;
