Ledger: sums of reported work are recomputed before they are read, not with each report

In a large fleet several reports come between two decisions.

Decisions see the same sums: a decision recomputes them if a report has come, and each report of its own does so as before, which also drops expired ones.

--- a/packages/core/include/sycamorelock/core/direct/load_ledger.hpp
+++ b/packages/core/include/sycamorelock/core/direct/load_ledger.hpp
@@ -80,18 +80,20 @@
     void begin(request_load& request);
     /// Removes a request that has ended.
     void close(const request_load& request);
-    /// Sets the time as of which the progress of prefills is computed.
-    void advance(time_point now) { progress_at_ = now; }
+    /// Sets the time as of which the progress of prefills is computed, and
+    /// recomputes the sums of reported work if a report has arrived. To be
+    /// called before a series of queries.
+    void advance(time_point now);
 
     /// Replaces the reported work of another instance by `work`, which is its
-    /// complete state.
+    /// complete state. The sums do not include it until they are recomputed.
     void report(time_point now, instance_id from,
                 const std::vector<endpoint_work>& work);
     /// Drops the report of an instance that has left or is unreachable.
     void forget_instance(instance_id gone) { reports_.erase(gone); }
 
     /// Drops expired reports and recomputes the sums of the others. To be
-    /// called before a series of queries, at least every report period.
+    /// called at least every report period.
     void refresh(time_point now);
 
     /// Work of the whole fleet at an endpoint.
@@ -138,6 +140,8 @@
     static void erase_prompt(own_work& work, const request_load& request);
 
     time_point progress_at_;
+    /// Whether a report has arrived since `others_` was computed.
+    bool has_new_report_ = false;
     std::uint64_t last_number_ = 0;
     std::map<endpoint_id, own_work> own_;
     std::map<endpoint_id, endpoint_work> others_;
--- a/packages/core/lib/direct/load_ledger.cpp
+++ b/packages/core/lib/direct/load_ledger.cpp
@@ -79,11 +79,20 @@
                          const std::vector<endpoint_work>& work)
 {
     reports_[from] = {now, work};
+    has_new_report_ = true;
+}
+
+void load_ledger::advance(time_point now)
+{
+    progress_at_ = now;
+    if (has_new_report_)
+        refresh(now);
 }
 
 void load_ledger::refresh(time_point now)
 {
-    advance(now);
+    progress_at_ = now;
+    has_new_report_ = false;
     others_.clear();
     std::erase_if(reports_, [now](const auto& entry)
                   { return now - entry.second.at > report_lifetime; });
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -543,7 +543,6 @@
 {
     const instance_id from = instance_id::of(report.sender);
     ledger_.report(now, from, report.work);
-    ledger_.refresh(now);
     account_shares_.report(now, from, report.demands);
     on_cache_notes(now, report.notes);
     on_streams(now, report.streams);
