--- a/test/standins/direct_fleet.cpp
+++ b/test/standins/direct_fleet.cpp
@@ -366,8 +366,8 @@
  "public":true}],
 "services":[{"name":"planner","max_conns":50,"engine":{"kv_capacity":100000}},
 {"name":"desk","max_conns":50}],
-"limits":{"max_header_bytes":8192,"max_body_bytes":200000,
-"header_timeout_ms":700,"idle_timeout_ms":5000},
+"limits":{)" + plan_.limits +
+                                 R"(},
 "tenants":[)" + tenants + "]}");
 }
 
--- a/test/standins/direct_fleet.hpp
+++ b/test/standins/direct_fleet.hpp
@@ -49,6 +49,9 @@
     bool proxied = false;
     /// Software versions of the engines in order; the others are of "v1".
     std::vector<std::string> versions{};
+    /// What callers may send, as the configuration has it.
+    std::string limits = R"("max_header_bytes":8192,"max_body_bytes":200000,
+"header_timeout_ms":700,"idle_timeout_ms":5000)";
 };
 
 /// A caller's request in the platform's dialect.
--- a/test/standins/http_server.cpp
+++ b/test/standins/http_server.cpp
@@ -9,6 +9,14 @@
 namespace standin
 {
 
+namespace
+{
+
+/// More than any configuration of a test allows.
+constexpr std::uint64_t max_request_body = 64UL * 1024 * 1024;
+
+} // namespace
+
 tcp::endpoint endpoint_of(const std::string& address)
 {
     const auto colon = address.rfind(':');
@@ -141,12 +149,13 @@
     open_.insert(&stream);
     for (;;)
     {
-        request asked;
+        http::request_parser<http::string_body> asked;
+        asked.body_limit(max_request_body);
         auto [error, bytes] =
             co_await http::async_read(stream, buffer, asked, as_result);
         if (error)
             break;
-        if (!co_await answer_(stream, std::move(asked)))
+        if (!co_await answer_(stream, asked.release()))
             break;
     }
     open_.erase(&stream);
