Callers share one bound on memory, at every listener and in both ways of routing

Causes: (1) nothing adds up what connections hold; (2) the buffer before the parser had no bound, and the parser needs a chunk's line and all trailers whole; (3) the body's string grew by doubling, and an announced length was reserved at once; (4) a resting connection kept its buffers and the last header; (5) each answer was written without a limit in direct routing once its endpoint was done; (6) an exception in a session left its pointer in the set of sessions.

`request_reader` reads the requests of both ways of routing and of all pages. It waits without a buffer, holds what has arrived and no more, and asks the connection's `memory_share` before a body or header grows. What has no end is refused by name (header, chunk line, trailers), as are a body whose transfer coding does not mark its end and TRACE with content. When it is used up, callers that have stalled or hold most give way: 503 `no_memory` or `evicted` with Retry-After, and nothing of theirs was sent to an endpoint. An answer that its caller does not take counts as well, and ends after `idle_timeout` without progress. Sessions take themselves off their lists when they are destroyed, and an exception ends its session only, with a line and a counter.

--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
@@ -2,6 +2,7 @@
 // traffic thread, read on it too.
 #pragma once
 
+#include "sycamorelock/adapters/caller_metrics.hpp"
 #include "sycamorelock/adapters/metrics.hpp"
 
 #include <map>
@@ -53,6 +54,7 @@
 
 struct direct_metrics
 {
+    caller_metrics callers;
     std::uint64_t accepted = 0;
     std::uint64_t open = 0;
     std::uint64_t caller_connections = 0;
--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -55,6 +55,7 @@
     bad_request = 1301,
     endpoint_endless = 1302,
     event_malformed = 1303,
+    session_failed = 1304,
     invariant_answer_mixed = 1901,
 };
 
@@ -73,6 +74,8 @@
     crash_evidence = 3010,
     endpoint_endless = 3011,
     event_malformed = 3012,
+    request_unreadable = 3013,
+    session_failed = 3014,
     endpoint_seen = 3101,
     endpoint_draining = 3102,
     endpoint_gone = 3103,
--- a/packages/adapters/include/sycamorelock/adapters/metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/metrics.hpp
@@ -1,6 +1,7 @@
 // Distributions and counters of the data plane, recorded by any thread.
 #pragma once
 
+#include "sycamorelock/adapters/caller_metrics.hpp"
 #include "sycamorelock/adapters/listener_metrics.hpp"
 #include "sycamorelock/core/messages.hpp"
 
@@ -51,6 +52,7 @@
     std::atomic<std::uint64_t> malformed_events{0};
     std::atomic<std::uint64_t> platform_bytes{0};
     std::atomic<std::uint64_t> platform_calls{0};
+    caller_metrics requests;
     listener_metrics callers{"caller"};
     listener_metrics operators{"operator"};
 };
--- a/packages/adapters/lib/caller_server.cpp
+++ b/packages/adapters/lib/caller_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 
 #include <algorithm>
+#include <deque>
 
 namespace sycamorelock::adapters
 {
@@ -21,7 +22,9 @@
 class worker
 {
   public:
-    worker() : guard_(asio::make_work_guard(context_)), reactor_user_(context_)
+    worker(const core::caller_memory_limits& memory, caller_metrics& metrics)
+        : memory_(memory, metrics), guard_(asio::make_work_guard(context_)),
+          reactor_user_(context_)
     {
     }
 
@@ -37,6 +40,7 @@
     }
     asio::io_context& context() { return context_; }
     connection_pool& pool() { return pool_; }
+    memory_pool& memory() { return memory_; }
     std::unordered_set<caller_session*>& sessions() { return sessions_; }
 
     void end_idle_connections()
@@ -64,6 +68,7 @@
   private:
     // Sessions that the context still holds take themselves off the list.
     std::unordered_set<caller_session*> sessions_;
+    memory_pool memory_;
     // The pool's sockets belong to the context and go first.
     asio::io_context context_{1};
     asio::executor_work_guard<asio::io_context::executor_type> guard_;
@@ -79,16 +84,27 @@
 class caller_server::impl
 {
   public:
-    explicit impl(control_plane& control)
-        : control_(control), workers_(control.settings().traffic_threads),
-          listener_(std::make_shared<listener<impl>>(
-              control.context(),
-              tcp::endpoint(asio::ip::make_address(control.settings().address),
-                            control.settings().caller_port),
-              *this, listener_limits{caller_connections(descriptor_limit())},
-              accept_report(&control.log(), scheduled_accept_events,
-                            control.traffic().callers)))
+    explicit impl(control_plane& control) : control_(control)
     {
+        const settings::process_settings& settings = control.settings();
+        const core::caller_memory_limits memory =
+            core::caller_memory_of(core::megabytes(settings.memory_mb))
+                .part_of(settings.traffic_threads);
+        std::size_t most_connections = 0;
+        for (unsigned i = 0; i < settings.traffic_threads; ++i)
+        {
+            workers_.emplace_back(memory, control.traffic().requests);
+            most_connections += workers_.back().memory().max_connections();
+        }
+        listener_ = std::make_shared<listener<impl>>(
+            control.context(),
+            tcp::endpoint(asio::ip::make_address(settings.address),
+                          settings.caller_port),
+            *this,
+            listener_limits{std::min(caller_connections(descriptor_limit()),
+                                     most_connections)},
+            accept_report(&control.log(), scheduled_accept_events,
+                          control.traffic().callers));
     }
     ~impl() { listener_->stop(); }
     impl(const impl&) = delete;
@@ -111,13 +127,20 @@
     void serve(tcp::socket accepted)
     {
         worker& chosen = worker_of(accepted);
-        auto session = std::make_shared<caller_session>(
-            std::move(accepted),
-            session_shared{control_, chosen.pool(), chosen.sessions(), busy_,
-                           open_});
-        asio::co_spawn(
-            chosen.context(), [session] { return session->run(); },
-            asio::detached);
+        ++open_;
+        // The session belongs to the worker's thread from the beginning.
+        asio::post(
+            chosen.context(),
+            [this, &chosen, socket = std::move(accepted)]() mutable
+            {
+                auto session = std::make_shared<caller_session>(
+                    std::move(socket),
+                    session_shared{control_, chosen.pool(), chosen.memory(),
+                                   chosen.sessions(), busy_, open_});
+                asio::co_spawn(
+                    chosen.context(), [session] { return session->run(); },
+                    asio::detached);
+            });
     }
 
     [[nodiscard]] std::size_t connections() const { return open_.load(); }
@@ -157,7 +180,7 @@
     std::size_t turn_ = 0;
     std::atomic<std::size_t> busy_{0};
     std::atomic<std::size_t> open_{0};
-    std::vector<worker> workers_;
+    std::deque<worker> workers_;
     std::shared_ptr<listener<impl>> listener_;
 };
 
--- a/packages/adapters/lib/caller_session.cpp
+++ b/packages/adapters/lib/caller_session.cpp
@@ -3,7 +3,6 @@
 
 #include "drain_limits.hpp"
 #include "request_fields.hpp"
-#include "request_reading.hpp"
 #include "socket_state.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
@@ -19,7 +18,66 @@
 {
 
 constexpr std::uint32_t max_request_header = 32 * 1024;
-constexpr std::size_t read_size = 4096;
+/// Memory of a request that is being served beside the request itself: a piece
+/// of the answer, what is read of it at a time, and the state of the call.
+constexpr std::size_t serving_bytes = 40UL * 1024;
+
+/// Counts a request as long as it is unfinished.
+class busy_count
+{
+  public:
+    explicit busy_count(std::atomic<std::size_t>& count) : count_(count)
+    {
+        ++count_;
+    }
+    ~busy_count() { --count_; }
+    busy_count(const busy_count&) = delete;
+    busy_count& operator=(const busy_count&) = delete;
+
+  private:
+    std::atomic<std::size_t>& count_;
+};
+
+std::string describe(request_error reason)
+{
+    using enum request_error;
+    switch (reason)
+    {
+    case header_too_large:
+        return "the header is too large";
+    case body_too_large:
+        return "the body is too large";
+    case chunk_line_too_long:
+        return "the line before a chunk is too long";
+    case trailers_too_large:
+        return "the trailers are too large";
+    case unframed_body:
+        return "the end of the body is not marked by its transfer coding";
+    case trace_with_content:
+        return "a TRACE request has content";
+    case slow_request:
+        return "the request did not arrive in time";
+    case no_memory:
+    case evicted:
+        return "callers hold as much memory as they may";
+    default:
+        return "the request breaks the rules of HTTP/1.1";
+    }
+}
+
+core::refusal_reason refusal_of(request_error reason)
+{
+    switch (reason)
+    {
+    case request_error::body_too_large:
+        return core::refusal_reason::body_too_large;
+    case request_error::no_memory:
+    case request_error::evicted:
+        return core::refusal_reason::no_memory;
+    default:
+        return core::refusal_reason::bad_request;
+    }
+}
 
 http::status status_of(core::refusal_reason reason)
 {
@@ -82,13 +140,21 @@
 
 caller_session::caller_session(tcp::socket socket, session_shared shared)
     : stream_(std::move(socket)), shared_(shared),
+      memory_(shared.memory, [this] { on_evicted(); }),
+      reader_(stream_.socket(), memory_), limit_(stream_.get_executor()),
       decided_(stream_.get_executor()), opened_at_(now())
 {
-    ++shared_.open;
+    shared_.sessions.insert(this);
     error_code ignored;
     stream_.socket().set_option(tcp::no_delay(true), ignored);
 }
 
+caller_session::~caller_session()
+{
+    shared_.sessions.erase(this);
+    --shared_.open;
+}
+
 asio::any_io_executor caller_session::executor()
 {
     return stream_.get_executor();
@@ -120,14 +186,30 @@
 {
     const auto self = shared_from_this();
     ++shared_.control.traffic().connections;
-    shared_.sessions.insert(this);
-    while (co_await serve_one())
-    {
-    }
-    shared_.sessions.erase(this);
+    co_await serve_all();
+    lift_limit();
     error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    --shared_.open;
+}
+
+asio::awaitable<void> caller_session::serve_all()
+{
+    try
+    {
+        while (memory_.is_open() && co_await serve_one())
+        {
+        }
+    }
+    catch (const std::exception& error)
+    {
+        ++shared_.control.traffic().requests.sessions_failed;
+        shared_.control.log().write(process_event::session_failed,
+                                    {{"error", error.what()}});
+        if (request_number_ != 0)
+            shared_.control.caller_left(current_);
+        request_number_ = 0;
+        stream_.close();
+    }
 }
 
 void caller_session::end_if_idle()
@@ -161,10 +243,10 @@
             co_return false;
         idle_since_ = now();
         // Idling between requests is not being slow within one.
-        stream_.expires_after(shared_.control.settings().idle_timeout);
-        auto [error, bytes] = co_await stream_.async_read_some(
-            buffer_.prepare(read_size), as_result);
-        buffer_.commit(bytes);
+        set_limit(shared_.control.settings().idle_timeout,
+                  [this] { end_waiting(); });
+        const error_code error = co_await reader_.wait();
+        lift_limit();
         if (!error)
             co_return true;
         if (error != asio::error::operation_aborted)
@@ -172,79 +254,99 @@
     }
 }
 
+void caller_session::set_limit(std::chrono::milliseconds time,
+                               std::function<void()> expired)
+{
+    limit_.expires_after(time);
+    limit_.async_wait(
+        [self = shared_from_this(), number = ++limit_number_,
+         expired = std::move(expired)](error_code ended)
+        {
+            if (!ended && number == self->limit_number_)
+                expired();
+        });
+}
+
+void caller_session::lift_limit()
+{
+    ++limit_number_;
+    limit_.cancel();
+}
+
+void caller_session::on_evicted()
+{
+    reader_.drop();
+    if (call_ != nullptr)
+        stream_.close();
+    else
+        stream_.cancel();
+}
+
 asio::awaitable<bool> caller_session::serve_one()
 {
-    if (buffer_.size() == 0 && !co_await wait_for_request())
+    if (!reader_.has_more() && !co_await wait_for_request())
         co_return false;
     busy_ = true;
     first_request_ = false;
-    ++shared_.busy;
-    const bool more = co_await [this]() -> asio::awaitable<bool>
+    bool more = false;
     {
-        parser request;
-        if (!co_await read(request))
-            co_return false;
-        co_return co_await handle(request.release());
-    }();
-    --shared_.busy;
+        const busy_count counted(shared_.busy);
+        more = co_await read_and_handle();
+    }
+    memory_.drop(memory_part::header);
+    memory_.drop(memory_part::body);
+    memory_.drop(memory_part::serving);
+    memory_.enter(core::holder_phase::receiving);
     busy_ = false;
     co_return more && !ending_;
 }
 
-asio::awaitable<bool> caller_session::read(parser& request)
+asio::awaitable<bool> caller_session::read_and_handle()
 {
     const settings::process_settings& settings = shared_.control.settings();
-    request.header_limit(max_request_header);
-    request.body_limit(settings.max_body_bytes);
     // The stream's own time limit would close the socket, and the caller would
     // get no answer. This one only ends the reading.
     stream_.expires_never();
-    const auto timed_out = std::make_shared<bool>(false);
-    asio::steady_timer limit(stream_.get_executor(), settings.header_timeout);
-    limit.async_wait(
-        [timed_out, self = shared_from_this()](error_code ended)
-        {
-            if (ended)
-                return;
-            *timed_out = true;
-            error_code ignored;
-            self->stream_.socket().cancel(ignored);
-        });
-    const error_code error = co_await read_request(stream_, buffer_, request);
-    limit.cancel();
-    has_key_ = has_idempotency_key(request.get());
-    if (!error)
-        co_return true;
-    keep_ = false;
-    const bool closed = error == http::error::end_of_stream ||
-                        error == asio::error::connection_reset ||
-                        error == asio::error::eof;
-    if (closed)
+    bool timed_out = false;
+    set_limit(settings.header_timeout,
+              [this, &timed_out]
+              {
+                  timed_out = true;
+                  stream_.cancel();
+              });
+    const error_code error =
+        co_await reader_.read({max_request_header, settings.max_body_bytes});
+    lift_limit();
+    // Without its header it is not known.
+    has_key_ =
+        reader_.header() == nullptr || has_idempotency_key(*reader_.header());
+    request_error wrong = request_error_of(error, timed_out);
+    if (wrong == request_error::none &&
+        !memory_.hold(memory_part::serving, serving_bytes))
+        wrong = request_error::no_memory;
+    if (wrong != request_error::none)
+    {
+        co_await refuse_unreadable(wrong);
         co_return false;
-    ++shared_.control.traffic().bad_requests;
-    shared_.control.log().write(process_event::bad_request,
-                                {{"error", error.message()}});
-    co_await answer_unreadable(error, *timed_out);
-    co_return false;
+    }
+    memory_.enter(core::holder_phase::serving);
+    co_return co_await handle(reader_.take());
 }
 
-asio::awaitable<void> caller_session::answer_unreadable(error_code error,
-                                                        bool timed_out)
+asio::awaitable<void> caller_session::refuse_unreadable(request_error reason)
 {
-    using enum core::refusal_reason;
-    if (timed_out)
-        co_await answer_problem(bad_request, http::status::request_timeout,
-                                "the request did not arrive in time");
-    else if (error == http::error::body_limit)
-        co_await answer_problem(body_too_large, http::status::payload_too_large,
-                                "the body is too large");
-    else if (error == http::error::header_limit)
-        co_await answer_problem(bad_request,
-                                http::status::request_header_fields_too_large,
-                                "the header is too large");
-    else
-        co_await answer_problem(bad_request, http::status::bad_request,
-                                error.message());
+    keep_ = false;
+    reader_.drop();
+    memory_.drop_all();
+    shared_.control.traffic().requests.count(reason);
+    const unsigned status = status_of(reason);
+    if (status == 0)
+        co_return;
+    ++shared_.control.traffic().bad_requests;
+    shared_.control.log().write(process_event::bad_request,
+                                {{"error", std::string(to_string(reason))}});
+    co_await answer_problem(refusal_of(reason), http::status(status),
+                            describe(reason));
 }
 
 asio::awaitable<bool> caller_session::handle(caller_request request)
@@ -346,8 +448,9 @@
             shared_.control.traffic().queue_wait.record(
                 std::chrono::duration<double>(now() - accepted).count());
         first = false;
-        endpoint_call call({shared_.control, shared_.pool, stream_, request,
-                            target, kind, wanted.idempotent, keep_, accepted},
+        endpoint_call call({shared_.control, shared_.pool, stream_, memory_,
+                            request, target, kind, wanted.idempotent, keep_,
+                            accepted},
                            order);
         call_ = &call;
         if (gone_)
--- a/packages/adapters/lib/caller_session.hpp
+++ b/packages/adapters/lib/caller_session.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "endpoint_call.hpp"
+#include "request_reader.hpp"
 
 #include <atomic>
 #include <memory>
@@ -19,6 +20,7 @@
 {
     control_plane& control;
     connection_pool& pool;
+    memory_pool& memory;
     /// Sessions of this traffic thread.
     std::unordered_set<caller_session*>& sessions;
     /// Unfinished requests of all threads.
@@ -32,6 +34,9 @@
 {
   public:
     caller_session(tcp::socket socket, session_shared shared);
+    ~caller_session() override;
+    caller_session(const caller_session&) = delete;
+    caller_session& operator=(const caller_session&) = delete;
 
     /// Serves requests until the connection ends.
     asio::awaitable<void> run();
@@ -48,13 +53,20 @@
     [[nodiscard]] asio::any_io_executor executor() override;
 
   private:
-    using parser = http::request_parser<http::string_body>;
-
+    asio::awaitable<void> serve_all();
     asio::awaitable<bool> serve_one();
     /// Waits for the first bytes of a request; returns false if none come.
     asio::awaitable<bool> wait_for_request();
-    asio::awaitable<bool> read(parser& request);
-    asio::awaitable<void> answer_unreadable(error_code error, bool timed_out);
+    /// Reads a request and answers it; returns whether another may follow.
+    asio::awaitable<bool> read_and_handle();
+    /// Answers a request that could not be read, unless its caller is gone.
+    asio::awaitable<void> refuse_unreadable(request_error reason);
+    /// Calls `expired` after a time, unless the limit is lifted or set again.
+    void set_limit(std::chrono::milliseconds time,
+                   std::function<void()> expired);
+    void lift_limit();
+    /// Gives up memory that another connection needs.
+    void on_evicted();
     asio::awaitable<bool> handle(caller_request request);
     asio::awaitable<bool> route(caller_request& request);
     asio::awaitable<bool> carry_out(const caller_request& request,
@@ -73,7 +85,11 @@
 
     beast::tcp_stream stream_;
     session_shared shared_;
-    beast::flat_buffer buffer_;
+    memory_share memory_;
+    request_reader reader_;
+    asio::steady_timer limit_;
+    /// A limit that has expired as it was lifted is told by this number.
+    std::uint64_t limit_number_ = 0;
     asio::steady_timer decided_;
     std::optional<decision> decision_;
     std::uint64_t request_number_ = 0;
--- a/packages/adapters/lib/direct/answer_writer.cpp
+++ b/packages/adapters/lib/direct/answer_writer.cpp
@@ -1,7 +1,9 @@
 // Each piece becomes one chunk.
 #include "answer_writer.hpp"
 
-#include "eager_io.hpp"
+#include "sycamorelock/adapters/request_error.hpp"
+
+#include "sycamorelock/adapters/clocks.hpp"
 
 #include <array>
 #include <charconv>
@@ -45,6 +47,60 @@
     return out;
 }
 
+asio::awaitable<error_code> answer_writer::write(std::string_view bytes)
+{
+    error_code error;
+    const std::size_t written =
+        caller_->write_some(asio::buffer(bytes.data(), bytes.size()), error);
+    if (error && error != asio::error::would_block)
+        co_return error;
+    bytes.remove_prefix(written);
+    if (bytes.empty())
+        co_return error_code();
+    // The answer is held twice: as it came, and with its header.
+    const bool has_memory =
+        memory_->hold(memory_part::answer, 2 * bytes.size());
+    memory_->enter(core::holder_phase::sending);
+    blocked_ = true;
+    error = has_memory ? co_await write_blocked(bytes)
+                       : make_error_code(request_error::no_memory);
+    blocked_ = false;
+    if (error)
+    {
+        error_code ignored;
+        caller_->close(ignored);
+    }
+    memory_->drop(memory_part::answer);
+    memory_->enter(core::holder_phase::serving);
+    co_return error;
+}
+
+asio::awaitable<error_code> answer_writer::write_blocked(std::string_view bytes)
+{
+    watchdog::limit limit;
+    while (!bytes.empty())
+    {
+        limits_->set(limit, now() + patience_,
+                     [caller = caller_]
+                     {
+                         error_code ignored;
+                         caller->close(ignored);
+                     });
+        auto [unable] =
+            co_await caller_->async_wait(tcp::socket::wait_write, as_result);
+        if (unable)
+            co_return unable;
+        error_code error;
+        const std::size_t written = caller_->write_some(
+            asio::buffer(bytes.data(), bytes.size()), error);
+        if (error && error != asio::error::would_block)
+            co_return error;
+        bytes.remove_prefix(written);
+        memory_->note_progress();
+    }
+    co_return error_code();
+}
+
 asio::awaitable<error_code>
 answer_writer::write_whole(const http::fields& header, http::status status,
                            std::string_view body, bool has_body)
@@ -55,7 +111,7 @@
     out.append(line_end);
     out.append(body);
     begun_ = true;
-    co_return co_await write_eagerly(*caller_, out);
+    co_return co_await write(out);
 }
 
 void answer_writer::begin(const http::fields& header, http::status status)
@@ -78,7 +134,7 @@
     if (last)
         out.append(last_chunk);
     begun_ = true;
-    co_return co_await write_eagerly(*caller_, out);
+    co_return co_await write(out);
 }
 
 } // namespace sycamorelock::adapters::direct
--- a/packages/adapters/lib/direct/answer_writer.hpp
+++ b/packages/adapters/lib/direct/answer_writer.hpp
@@ -2,6 +2,9 @@
 #pragma once
 
 #include "../http.hpp"
+#include "../memory_share.hpp"
+
+#include "sycamorelock/adapters/direct/watchdog.hpp"
 
 #include <string>
 #include <string_view>
@@ -12,7 +15,14 @@
 class answer_writer
 {
   public:
-    explicit answer_writer(tcp::socket& caller) : caller_(&caller) {}
+    /// \param memory takes what the caller does not take at once.
+    /// \param patience after which a caller that takes nothing is given up.
+    answer_writer(tcp::socket& caller, memory_share& memory, watchdog& limits,
+                  std::chrono::milliseconds patience)
+        : caller_(&caller), memory_(&memory), limits_(&limits),
+          patience_(patience)
+    {
+    }
 
     /// Sets whether the connection stays open after this answer.
     void keep(bool open) { keep_ = open; }
@@ -32,12 +42,22 @@
 
     /// Whether any byte of an answer was handed to the connection.
     [[nodiscard]] bool begun() const { return begun_; }
+    /// Whether something waits for the caller to take it.
+    [[nodiscard]] bool is_blocked() const { return blocked_; }
 
   private:
+    /// Writes everything; closes the connection if the caller does not take it
+    /// in time or its memory is needed.
+    asio::awaitable<error_code> write(std::string_view bytes);
+    asio::awaitable<error_code> write_blocked(std::string_view bytes);
     [[nodiscard]] std::string head(const http::fields& header,
                                    http::status status) const;
 
     tcp::socket* caller_;
+    memory_share* memory_;
+    watchdog* limits_;
+    std::chrono::milliseconds patience_;
+    bool blocked_ = false;
     bool keep_ = true;
     bool begun_ = false;
     std::string pending_;
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -1,7 +1,6 @@
 // The way of a request through this instance.
 #include "request_session.hpp"
 
-#include "message_reading.hpp"
 #include "termination_check.hpp"
 
 #include "../socket_state.hpp"
@@ -29,6 +28,9 @@
 constexpr milliseconds overlap_time{100};
 /// Time that a caller has to take in why its request could not be read.
 constexpr milliseconds linger_time{1000};
+/// Memory of a request that is being served beside the request itself: its
+/// attempt, a piece of the answer, and the copy of the header that is sent.
+constexpr std::size_t serving_bytes = 24UL * 1024;
 
 /// Seconds with a fraction, as Retry-After has them here.
 std::string seconds_text(milliseconds value)
@@ -46,6 +48,19 @@
     return end != attempt_end::unreachable && end != attempt_end::withheld;
 }
 
+/// Counts a request as long as it is open.
+class open_count
+{
+  public:
+    explicit open_count(std::uint64_t& count) : count_(count) { ++count_; }
+    ~open_count() { --count_; }
+    open_count(const open_count&) = delete;
+    open_count& operator=(const open_count&) = delete;
+
+  private:
+    std::uint64_t& count_;
+};
+
 /// Whether an attempt that ended so may have begun to run the request.
 bool may_have_run(attempt_end end)
 {
@@ -58,23 +73,46 @@
 request_session::request_session(tcp::socket socket, traffic_context& context,
                                  std::function<void(request_session*)> ended)
     : socket_(std::move(socket)), context_(context), ended_(std::move(ended)),
-      out_(socket_), log_(context), streams_(context), opened_at_(now())
+      memory_(context.caller_memory, [this] { on_evicted(); }),
+      reader_(socket_, memory_),
+      out_(socket_, memory_, context.limits, first_limits.idle_timeout),
+      log_(context), streams_(context), opened_at_(now())
+{
+}
+
+request_session::~request_session()
 {
-    make_eager(socket_);
+    ended_(this);
 }
 
 asio::awaitable<void> request_session::run()
 {
     const auto self = shared_from_this();
     ++context_.metrics.caller_connections;
-    while (co_await serve_one())
-    {
-    }
+    co_await serve_all();
     limit_.lift();
+    waiting_limit_.lift();
     error_code ignored;
     socket_.close(ignored);
     --context_.metrics.caller_connections;
-    ended_(this);
+}
+
+asio::awaitable<void> request_session::serve_all()
+{
+    try
+    {
+        while (memory_.is_open() && co_await serve_one())
+        {
+        }
+    }
+    catch (const std::exception& error)
+    {
+        // Of this connection's state only what destructors put in order is
+        // known; the others are not touched.
+        ++context_.metrics.callers.sessions_failed;
+        context_.log.write(direct_event::session_failed,
+                           {{"error", error.what()}});
+    }
 }
 
 bool request_session::end_if_idle_since(core::time_point latest)
@@ -115,10 +153,8 @@
             co_return false;
         idle_since_ = now();
         context_.limits.set(limit_, now() + limit, [this] { end_if_idle(); });
-        auto [error, bytes] = co_await socket_.async_read_some(
-            buffer_.prepare(request_read_size), as_result);
+        const error_code error = co_await reader_.wait();
         limit_.lift();
-        buffer_.commit(bytes);
         if (!error)
             co_return true;
         if (error != asio::error::operation_aborted)
@@ -131,15 +167,13 @@
     const auto config = context_.router.config();
     const core::direct::caller_limits& limits =
         config ? config->limits : first_limits;
-    if (buffer_.size() == 0 && !co_await wait_for_request(limits.idle_timeout))
+    if (!reader_.has_more() && !co_await wait_for_request(limits.idle_timeout))
         co_return false;
     busy_ = true;
     first_request_ = false;
     keep_ = true;
-    out_ = answer_writer(socket_);
-    parser request;
-    request.header_limit(limits.max_header_bytes);
-    request.body_limit(limits.max_body_bytes);
+    out_ =
+        answer_writer(socket_, memory_, context_.limits, limits.idle_timeout);
     timed_out_ = false;
     context_.limits.set(limit_, now() + limits.header_timeout,
                         [this]
@@ -148,55 +182,66 @@
                             error_code ignored;
                             socket_.cancel(ignored);
                         });
-    request.eager(true);
-    const error_code error = co_await read_message(socket_, buffer_, request);
-    limit_.lift();
-    if (error)
-    {
-        keep_ = false;
-        co_await answer_unreadable(error);
-        if (out_.begun())
-            co_await read_to_the_end();
-    }
-    else
-        co_await handle(request.release());
+    co_await read_and_handle({limits.max_header_bytes, limits.max_body_bytes});
     busy_ = false;
     // A connection that an answer has kept open takes what its caller sends
     // next, also when the instance has begun to leave since, but not so late
     // that it may be cut.
-    const bool takes_more = !context_.closing || buffer_.size() > 0;
+    const bool takes_more = !context_.closing || reader_.has_more();
     const bool goes_on = keep_ && takes_more && socket_.is_open();
     co_return goes_on;
 }
 
-asio::awaitable<void> request_session::answer_unreadable(error_code error)
+asio::awaitable<void>
+request_session::read_and_handle(const request_limits& limits)
 {
-    if (timed_out_)
-    {
-        co_await answer_problem(http::status::request_timeout, "slow_request",
-                                milliseconds(0));
-        co_return;
-    }
-    if (error == http::error::body_limit)
+    const error_code error = co_await reader_.read(limits);
+    limit_.lift();
+    request_error wrong = request_error_of(error, timed_out_);
+    if (wrong == request_error::none &&
+        !memory_.hold(memory_part::serving, serving_bytes))
+        wrong = request_error::no_memory;
+    if (wrong != request_error::none)
     {
-        co_await answer_problem(http::status::payload_too_large,
-                                "body_too_large", milliseconds(0));
+        co_await refuse_unreadable(wrong);
         co_return;
     }
-    if (error == http::error::header_limit)
-    {
-        co_await answer_problem(http::status::request_header_fields_too_large,
-                                "header_too_large", milliseconds(0));
+    memory_.enter(core::holder_phase::serving);
+    co_await handle(reader_.take());
+    memory_.drop(memory_part::header);
+    memory_.drop(memory_part::body);
+    memory_.drop(memory_part::serving);
+    memory_.enter(core::holder_phase::receiving);
+}
+
+void request_session::on_evicted()
+{
+    reader_.drop();
+    error_code ignored;
+    if (out_.is_blocked())
+        socket_.close(ignored);
+    else
+        socket_.cancel(ignored);
+}
+
+asio::awaitable<void> request_session::refuse_unreadable(request_error reason)
+{
+    keep_ = false;
+    reader_.drop();
+    memory_.drop_all();
+    context_.metrics.callers.count(reason);
+    const unsigned status = status_of(reason);
+    if (status == 0)
         co_return;
-    }
-    const bool malformed =
-        error.category() ==
-        http::make_error_code(http::error::bad_method).category();
-    const bool closed = error == http::error::end_of_stream ||
-                        error == http::error::partial_message;
-    if (malformed && !closed)
-        co_await answer_problem(http::status::bad_request, "malformed",
-                                milliseconds(0));
+    context_.log.write(direct_event::request_unreadable,
+                       {{"reason", std::string(to_string(reason))},
+                        {"status", std::to_string(status)}});
+    const bool later =
+        http::status(status) == http::status::service_unavailable;
+    co_await answer_problem(http::status(status), to_string(reason),
+                            later ? linger_time : milliseconds(0));
+    if (out_.begun())
+        co_await read_to_the_end();
 }
 
 asio::awaitable<void> request_session::read_to_the_end()
@@ -211,11 +256,11 @@
                             error_code unused;
                             socket_.cancel(unused);
                         });
-    buffer_.clear();
+    std::array<char, 4096> ignored_bytes;
     for (;;)
     {
         auto [error, bytes] = co_await socket_.async_read_some(
-            buffer_.prepare(request_read_size), as_result);
+            asio::buffer(ignored_bytes), as_result);
         if (error)
             break;
     }
@@ -271,7 +316,7 @@
 request_session::carry_out(open_request& request,
                            core::direct::placement_decision first)
 {
-    ++context_.metrics.open;
+    const open_count counted(context_.metrics.open);
     watch_caller();
     context_.limits.set(limit_, request.profile.deadline,
                         [this] { stop_request(stop::time_over); });
@@ -280,7 +325,6 @@
         placed = co_await try_at(request, *placed);
     limit_.lift();
     give_up_waiting();
-    --context_.metrics.open;
     ++number_;
     if (watching_)
     {
--- a/packages/adapters/lib/direct/request_session.hpp
+++ b/packages/adapters/lib/direct/request_session.hpp
@@ -1,6 +1,7 @@
 // One caller's connection: reads requests, tries endpoints, answers.
 #pragma once
 
+#include "../request_reader.hpp"
 #include "request_log.hpp"
 #include "stream_binding.hpp"
 
@@ -12,8 +13,12 @@
 class request_session : public std::enable_shared_from_this<request_session>
 {
   public:
+    /// \param ended is called when the session is destroyed.
     request_session(tcp::socket socket, traffic_context& context,
                     std::function<void(request_session*)> ended);
+    ~request_session();
+    request_session(const request_session&) = delete;
+    request_session& operator=(const request_session&) = delete;
 
     /// Serves requests until the connection ends.
     asio::awaitable<void> run();
@@ -32,8 +37,6 @@
     void end_request();
 
   private:
-    using parser = http::request_parser<http::string_body>;
-
     /// Why work on a request stops early.
     enum class stop : std::uint8_t
     {
@@ -43,10 +46,16 @@
         instance_shutting_down,
     };
 
+    asio::awaitable<void> serve_all();
     asio::awaitable<bool> serve_one();
     /// Waits for the first bytes of a request; returns false if none come.
     asio::awaitable<bool> wait_for_request(milliseconds limit);
-    asio::awaitable<void> answer_unreadable(error_code error);
+    /// Reads a request and answers it.
+    asio::awaitable<void> read_and_handle(const request_limits& limits);
+    /// Answers a request that could not be read, unless its caller is gone.
+    asio::awaitable<void> refuse_unreadable(request_error reason);
+    /// Gives up memory that another connection needs.
+    void on_evicted();
     asio::awaitable<void> read_to_the_end();
     asio::awaitable<void> handle(caller_message message);
     /// Finds route, account and service; answers and returns false if it
@@ -107,7 +116,8 @@
     tcp::socket socket_;
     traffic_context& context_;
     std::function<void(request_session*)> ended_;
-    beast::flat_buffer buffer_;
+    memory_share memory_;
+    request_reader reader_;
     answer_writer out_;
     request_log log_;
     stream_binding streams_;
--- a/packages/adapters/lib/direct/traffic_context.hpp
+++ b/packages/adapters/lib/direct/traffic_context.hpp
@@ -1,6 +1,8 @@
 // What every session of the traffic thread shares.
 #pragma once
 
+#include "../memory_share.hpp"
+
 #include "sycamorelock/adapters/direct/channel_pool.hpp"
 #include "sycamorelock/adapters/direct/dialect.hpp"
 #include "sycamorelock/adapters/direct/traffic_metrics.hpp"
@@ -43,6 +45,7 @@
     core::direct::router& router;
     channel_pool& channels;
     watchdog& limits;
+    memory_pool& caller_memory;
     direct_metrics& metrics;
     event_log& log;
     const dialect_table& dialect;
--- a/packages/adapters/lib/direct/traffic_plane.cpp
+++ b/packages/adapters/lib/direct/traffic_plane.cpp
@@ -54,13 +54,17 @@
         : io_(io), address_(parse_address(settings.caller_address)),
           dialect_(dialect), on_report_(std::move(on_report)),
           router_(router_options_of(settings, seed)),
-          context_{io_,      router_,  channels_,    limits_,  metrics_,
-                   log,      dialect_, leaving_,     closing_, ends_at_,
-                   crowded_, news_,    terminations_},
+          caller_memory_(
+              core::caller_memory_of(core::megabytes(settings.memory_mb)),
+              metrics_.callers),
+          context_{io_,      router_,  channels_, limits_,      caller_memory_,
+                   metrics_, log,      dialect_,  leaving_,     closing_,
+                   ends_at_, crowded_, news_,     terminations_},
           timer_(io_),
           crowded_at_(part_of(settings.max_descriptors, crowded_part)),
           full_at_(part_of(settings.max_descriptors, full_part)),
-          most_connections_(settings.max_descriptors)
+          most_connections_(std::min(settings.max_descriptors,
+                                     caller_memory_.max_connections()))
     {
     }
 
@@ -101,7 +105,11 @@
     {
         auto session = std::make_shared<request_session>(
             std::move(socket), context_,
-            [this](request_session* ended) { sessions_.erase(ended); });
+            [weak = weak_from_this()](request_session* ended)
+            {
+                if (const auto self = weak.lock())
+                    self->sessions_.erase(ended);
+            });
         sessions_.insert(session.get());
         crowded_ = sessions_.size() > crowded_at_;
         asio::co_spawn(
@@ -139,6 +147,7 @@
     [[nodiscard]] std::string describe() const
     {
         std::string out = metrics_.text();
+        print(out, metrics_.callers);
         single(out, "requests_open_elsewhere", "gauge",
                "Requests that other instances have open, as they last told.",
                std::uint64_t{router_.ledger().open_elsewhere()});
@@ -312,6 +321,7 @@
     channel_pool channels_;
     watchdog limits_;
     direct_metrics metrics_;
+    memory_pool caller_memory_;
     bool leaving_ = false;
     bool closing_ = false;
     core::time_point ends_at_ = core::time_point::max();
@@ -325,8 +335,8 @@
     core::direct::tick_delay delay_{tick_period};
     std::size_t crowded_at_;
     std::size_t full_at_;
-    // Only the descriptors bound them: a caller that is accepted is refused at
-    // once, one that waits for its turn gives up.
+    // Only descriptors and memory bound them: a caller that is accepted is
+    // refused at once, one that waits for its turn gives up.
     std::size_t most_connections_;
     std::unordered_set<request_session*> sessions_;
     std::function<void()> on_idle_;
--- a/packages/adapters/lib/endpoint_call.cpp
+++ b/packages/adapters/lib/endpoint_call.cpp
@@ -11,6 +11,7 @@
 #include "sycamorelock/adapters/clocks.hpp"
 
 #include <array>
+#include <tuple>
 
 namespace sycamorelock::adapters
 {
@@ -142,12 +143,13 @@
 asio::awaitable<bool> endpoint_call::send()
 {
     const caller_request& asked = context_.request;
-    http::request<http::string_body> out(asked.method(), context_.target, 11);
+    http::request<http::span_body<const char>> out(asked.method(),
+                                                   context_.target, 11);
     copy_end_to_end(asked, out, is_own_field);
     out.set(http::field::host, "endpoint");
     out.set("X-Request-Id", to_string(order_.request));
     out.set("X-Attempt", std::to_string(order_.attempt));
-    out.body() = asked.body();
+    out.body() = {asked.body().data(), asked.body().size()};
     out.prepare_payload();
     // The last look at the lease: after this point the request may run.
     withheld_ = now() >= order_.valid_until || aborted_;
@@ -274,14 +276,16 @@
     if (bytes.empty())
         co_return true;
     context_.caller.expires_after(context_.control.settings().write_timeout);
-    if (!is_chunked())
-    {
-        auto [error, written] = co_await asio::async_write(
+    // A caller that does not take its answer keeps no memory that others need.
+    context_.memory.enter(core::holder_phase::sending);
+    error_code error;
+    if (is_chunked())
+        std::tie(error, std::ignore) = co_await asio::async_write(
+            context_.caller, http::make_chunk(asio::buffer(bytes)), as_result);
+    else
+        std::tie(error, std::ignore) = co_await asio::async_write(
             context_.caller, asio::buffer(bytes), as_result);
-        co_return !error;
-    }
-    auto [error, written] = co_await asio::async_write(
-        context_.caller, http::make_chunk(asio::buffer(bytes)), as_result);
+    context_.memory.enter(core::holder_phase::serving);
     co_return !error;
 }
 
--- a/packages/adapters/lib/endpoint_call.hpp
+++ b/packages/adapters/lib/endpoint_call.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "http.hpp"
+#include "memory_share.hpp"
 
 #include "sycamorelock/adapters/control_plane.hpp"
 #include "sycamorelock/adapters/event_stream.hpp"
@@ -36,6 +37,8 @@
     control_plane& control;
     connection_pool& pool;
     beast::tcp_stream& caller;
+    /// The caller's.
+    memory_share& memory;
     const caller_request& request;
     std::string target;
     core::service_kind kind;
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -69,6 +69,9 @@
     event_kind{1303, warn, "event_malformed",
                "An endpoint sent, within a stream, something that is no event; "
                "`fault` tells what is wrong with it."},
+    event_kind{1304, error, "session_failed",
+               "An unexpected error ended the connection of a caller; the "
+               "others go on."},
     event_kind{
         1901, error, "invariant_answer_mixed",
         "An endpoint's answer named another request; it was not passed on."},
@@ -150,6 +153,13 @@
     event_kind{3012, warn, "event_malformed",
                "An endpoint sent, within a stream, something that is not its "
                "next event; `fault` tells what is wrong with it."},
+    event_kind{
+        3013, info, "request_unreadable",
+        "A caller's request could not be read to its end; `reason` tells "
+        "why. No endpoint got any of it."},
+    event_kind{3014, error, "session_failed",
+               "An unexpected error ended the connection of a caller; the "
+               "others go on."},
     event_kind{3101, info, "endpoint_seen",
                "An endpoint registered or changed its entry."},
     event_kind{3102, info, "endpoint_drains",
--- a/packages/adapters/lib/page_listener.hpp
+++ b/packages/adapters/lib/page_listener.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "listener.hpp"
+#include "request_reader.hpp"
 #include "socket_state.hpp"
 #include "spare_descriptor.hpp"
 
@@ -42,6 +43,9 @@
                   std::size_t most_connections, event_log* log,
                   accept_report::events events, listener_metrics& metrics)
         : io_(io), metrics_(metrics),
+          memory_({core::byte_count((most_connections + 1) * connection_bytes),
+                   core::byte_count(connection_bytes / 2), connection_timeout},
+                  counters_),
           listener_(std::make_shared<listener<page_listener>>(
               io, at, *this, listener_limits{most_connections},
               accept_report(log, events, metrics)))
@@ -91,7 +95,10 @@
   private:
     /// Time of one request, and of the pause before it.
     static constexpr std::chrono::seconds connection_timeout{30};
-    static constexpr std::uint64_t max_request_body = 4096;
+    static constexpr request_limits limits{8192, 4096};
+    /// Memory for a connection, on average. Those that are open at once can
+    /// take twice as much if the others take nothing.
+    static constexpr std::size_t connection_bytes = 32UL * 1024;
 
     enum class phase : std::uint8_t
     {
@@ -102,15 +109,24 @@
 
     struct connection
     {
-        explicit connection(tcp::socket accepted) : stream(std::move(accepted))
+        connection(tcp::socket accepted, memory_pool& pool)
+            : stream(std::move(accepted)), memory(pool, [this] { give_up(); }),
+              reader(stream.socket(), memory)
         {
         }
+        void give_up()
+        {
+            reader.drop();
+            stream.close();
+        }
         void enter(phase next)
         {
             now_in = next;
             since = now();
         }
         beast::tcp_stream stream;
+        memory_share memory;
+        request_reader reader;
         phase now_in = phase::reading;
         core::time_point since = now();
         bool ended = false;
@@ -124,7 +140,7 @@
         listed(std::shared_ptr<page_listener> owner, tcp::socket accepted)
             : owner_(std::move(owner)),
               at_(owner_->open_.emplace(owner_->open_.end(),
-                                        std::move(accepted)))
+                                        std::move(accepted), owner_->memory_))
         {
         }
         ~listed()
@@ -160,21 +176,18 @@
     static asio::awaitable<void> run(std::unique_ptr<listed> held)
     {
         connection& own = held->get();
-        beast::flat_buffer buffer;
-        for (;;)
+        while (own.memory.is_open())
         {
-            http::request_parser<http::string_body> parser;
-            parser.body_limit(max_request_body);
             own.enter(phase::reading);
-            own.stream.expires_after(connection_timeout);
-            auto [unread, read] = co_await http::async_read(own.stream, buffer,
-                                                            parser, as_result);
-            if (unread)
+            if (co_await read(own))
                 co_return;
             own.enter(phase::making);
             page_response answer = co_await static_cast<Server&>(held->owner())
-                                       .respond(parser.release());
+                                       .respond(own.reader.take());
+            own.memory.drop(memory_part::header);
+            own.memory.drop(memory_part::body);
             own.enter(phase::writing);
+            own.stream.expires_after(connection_timeout);
             auto [unsent, sent] =
                 co_await http::async_write(own.stream, answer, as_result);
             if (unsent || !answer.keep_alive())
@@ -182,8 +195,26 @@
         }
     }
 
+    static asio::awaitable<error_code> read(connection& own)
+    {
+        asio::steady_timer limit(own.stream.get_executor(), connection_timeout);
+        // Null once the read has ended.
+        const auto reading = std::make_shared<connection*>(&own);
+        limit.async_wait(
+            [reading](error_code ended)
+            {
+                if (!ended && *reading != nullptr)
+                    (*reading)->stream.close();
+            });
+        const error_code error = co_await own.reader.read(limits);
+        *reading = nullptr;
+        co_return error;
+    }
+
     asio::io_context& io_;
     listener_metrics& metrics_;
+    caller_metrics counters_;
+    memory_pool memory_;
     connections_list open_;
     // Balancers go by the pages, also when others have all descriptors.
     spare_descriptor spare_;
--- a/packages/adapters/lib/report.cpp
+++ b/packages/adapters/lib/report.cpp
@@ -151,6 +151,7 @@
     single(out, "malformed_events_total", "counter",
            "Pieces of streams that were no events.",
            number(traffic.malformed_events));
+    print(out, traffic.requests);
     print(out, {&traffic.callers, &traffic.operators});
     single(out, "control_cpu_seconds_total", "counter",
            "Processor time of the control thread.", control.cpu_seconds());
--- a/packages/adapters/lib/request_fields.cpp
+++ b/packages/adapters/lib/request_fields.cpp
@@ -115,9 +115,9 @@
     return text.substr(scheme.size());
 }
 
-bool has_idempotency_key(const request& asked)
+bool has_idempotency_key(const http::fields& header)
 {
-    return asked.count(key_field) > 0;
+    return header.count(key_field) > 0;
 }
 
 void read_request_fields(const request& asked, core::service_kind kind,
--- a/packages/adapters/lib/request_fields.hpp
+++ b/packages/adapters/lib/request_fields.hpp
@@ -33,7 +33,7 @@
 bearer_key(const http::request<http::string_body>& request);
 
 /// Whether a request has an idempotency key, readable or not.
-bool has_idempotency_key(const http::request<http::string_body>& request);
+bool has_idempotency_key(const http::fields& header);
 
 /// Fills urgency, deadline, hint, idempotency and prompt prefix.
 /// \throws field_error naming the field that cannot be used.
--- a/packages/core/include/sycamorelock/core/reasons.hpp
+++ b/packages/core/include/sycamorelock/core/reasons.hpp
@@ -35,8 +35,10 @@
     body_too_large,
     /// Several endpoints have crashed under the request.
     quarantined,
+    /// Callers hold as much memory of the instance as they may.
+    no_memory,
 };
-inline constexpr std::size_t refusal_reason_count = 20;
+inline constexpr std::size_t refusal_reason_count = 21;
 
 /// Why an attempt is repeated.
 enum class retry_reason : std::uint8_t
--- a/packages/core/lib/reasons.cpp
+++ b/packages/core/lib/reasons.cpp
@@ -28,7 +28,8 @@
         "unknown_service",
         "bad_request",
         "body_too_large",
-        "quarantined"};
+        "quarantined",
+        "no_memory"};
     const auto index = static_cast<std::size_t>(reason);
     assert(index < texts.size() && "refusal reason without a text");
     return texts[index];
--- a/packages/settings/include/sycamorelock/settings/direct_settings.hpp
+++ b/packages/settings/include/sycamorelock/settings/direct_settings.hpp
@@ -44,6 +44,8 @@
     std::chrono::milliseconds shutdown{0};
     /// Descriptors that the process may have open.
     std::size_t max_descriptors = 0;
+    /// Memory of the machine, in megabytes.
+    std::size_t memory_mb = 0;
     core::direct::mechanism_set mechanisms;
     std::string log_level;
 };
--- a/packages/settings/include/sycamorelock/settings/documents.hpp
+++ b/packages/settings/include/sycamorelock/settings/documents.hpp
@@ -34,6 +34,8 @@
     core::scheduling_mode scheduling = core::scheduling_mode::full;
     std::string log_level = "info";
     std::size_t max_body_bytes = 0;
+    /// Memory of the machine, in megabytes.
+    std::size_t memory_mb = 120;
     std::chrono::milliseconds header_timeout{0};
     std::chrono::milliseconds idle_timeout{0};
     std::chrono::milliseconds write_timeout{0};
--- a/packages/settings/lib/direct_settings.cpp
+++ b/packages/settings/lib/direct_settings.cpp
@@ -64,6 +64,7 @@
     result.remote_ms_per_kb = number_of(held, "remote_ms_per_kb");
     result.max_descriptors =
         static_cast<std::size_t>(integer_of(held, "max_descriptors"));
+    result.memory_mb = static_cast<std::size_t>(integer_of(held, "memory_mb"));
     result.log_level = text_of(held, "log_level");
     return result;
 }
--- a/packages/settings/lib/documents.cpp
+++ b/packages/settings/lib/documents.cpp
@@ -200,6 +200,7 @@
     result.log_level = text_of(held, "log_level");
     result.max_body_bytes =
         static_cast<std::size_t>(integer_of(held, "max_body_bytes"));
+    result.memory_mb = static_cast<std::size_t>(integer_of(held, "memory_mb"));
     result.header_timeout = ms_of(held, "header_timeout_ms");
     result.idle_timeout = ms_of(held, "idle_timeout_ms");
     result.write_timeout = ms_of(held, "write_timeout_ms");
--- a/packages/settings/lib/schema.cpp
+++ b/packages/settings/lib/schema.cpp
@@ -41,6 +41,9 @@
           "Least level that is logged."},
     field{"max_body_bytes", integer, false, 1, 67108864, "1048576", "",
           "Largest request body, in bytes."},
+    field{"memory_mb", integer, false, 32, 10000000, "120", "",
+          "Memory of the machine, in megabytes. A fifth of it is for what is "
+          "held for callers; the rest is explained in docs/CAPACITY.md."},
     field{"header_timeout_ms", integer, false, 100, 600000, "10000", "",
           "Time for a caller to send a request's header and body, in "
           "milliseconds."},
@@ -116,6 +119,9 @@
     field{"max_descriptors", integer, false, 100, 10000000, "4096", "",
           "Descriptors that the process may have open; six in ten are for "
           "callers."},
+    field{"memory_mb", integer, false, 32, 10000000, "120", "",
+          "Memory of the machine, in megabytes. A fifth of it is for what is "
+          "held for callers; the rest is explained in docs/CAPACITY.md."},
     field{"switched_off", text_list, false, 0, 64, "", "",
           "Mechanisms of the decisions that are not used, to measure what each "
           "is worth (docs/OPERATING.md)."},
