--- a/packages/adapters/lib/request_reader.cpp
+++ b/packages/adapters/lib/request_reader.cpp
@@ -100,8 +100,7 @@
 {
     unparsed_.clear();
     unparsed_.shrink_to_fit();
-    if (parser_)
-        std::string().swap(parser_->get().body().text);
+    parser_.reset();
 }
 
 error_code request_reader::parse()
--- a/packages/adapters/lib/request_reader.hpp
+++ b/packages/adapters/lib/request_reader.hpp
@@ -89,7 +89,7 @@
     /// leave to send the body gets it.
     asio::awaitable<error_code> read(const request_limits& limits);
     [[nodiscard]] message take();
-    /// Header of what has been read so far; nothing before the first read.
+    /// Header of what has been read so far; nothing if that was given up.
     [[nodiscard]] const http::fields* header() const
     {
         return parser_ ? &parser_->get() : nullptr;
--- a/packages/daemon/lib/main.cpp
+++ b/packages/daemon/lib/main.cpp
@@ -12,6 +12,8 @@
 #include <cstdlib>
 #include <iostream>
 
+#include <malloc.h>
+
 namespace
 {
 
@@ -29,6 +31,17 @@
     std::_Exit(exit_ok);
 }
 
+/// Blocks from this size on are mapped alone, so that they go back to the system
+/// when they are freed. Left to itself, the allocator raises this size to that
+/// of the largest block freed, and large requests leave holes in the heap.
+constexpr int mapped_block_bytes = 128 * 1024;
+
+void return_freed_memory()
+{
+    mallopt(M_MMAP_THRESHOLD, mapped_block_bytes);
+    mallopt(M_TRIM_THRESHOLD, mapped_block_bytes);
+}
+
 int run(const std::string& text, const std::string& path)
 {
     using namespace sycamorelock;
@@ -49,6 +62,7 @@
 {
     std::signal(SIGTERM, end_during_start);
     std::signal(SIGINT, end_during_start);
+    return_freed_memory();
     cxxopts::Options options("sycamorelockd", "Router between client accounts "
                                               "and model engines or services");
     options.add_options()(
