Body limits that memory cannot bear are refused: by the settings, or with 413

A body within its limit must be served while no other caller is there. Scheduled routing now reports max_body_bytes above half of what a traffic thread may hold as a finding; direct routing, whose limit comes with the configuration, answers 413 above that half.

--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -28,6 +28,9 @@
 constexpr milliseconds overlap_time{100};
 /// Time that a caller has to take in why its request could not be read.
 constexpr milliseconds linger_time{1000};
+/// When a caller may come back that found no memory: those that have stalled
+/// give way much sooner.
+constexpr milliseconds memory_retry{1000};
 /// Memory of a request that is being served beside the request itself: its
 /// attempt, a piece of the answer, and the copy of the header that is sent.
 constexpr std::size_t serving_bytes = 24UL * 1024;
@@ -182,7 +185,11 @@
                             error_code ignored;
                             socket_.cancel(ignored);
                         });
-    co_await read_and_handle({limits.max_header_bytes, limits.max_body_bytes});
+    // A larger body than memory allows is refused at once, however calm it is.
+    co_await read_and_handle(
+        {limits.max_header_bytes,
+         std::min<std::uint64_t>(limits.max_body_bytes,
+                                 context_.caller_memory.largest_body())});
     busy_ = false;
     // A connection that an answer has kept open takes what its caller sends
     // next, also when the instance has begun to leave since, but not so late
@@ -239,7 +246,7 @@
     const bool later =
         http::status(status) == http::status::service_unavailable;
     co_await answer_problem(http::status(status), to_string(reason),
-                            later ? linger_time : milliseconds(0));
+                            later ? memory_retry : milliseconds(0));
     if (out_.begun())
         co_await read_to_the_end();
 }
--- a/packages/adapters/lib/memory_share.hpp
+++ b/packages/adapters/lib/memory_share.hpp
@@ -28,6 +28,11 @@
     {
         return state_.max_connections();
     }
+    /// In bytes.
+    [[nodiscard]] std::size_t largest_body() const
+    {
+        return state_.limits().largest_body().value();
+    }
 
   private:
     friend class memory_share;
--- a/packages/core/include/sycamorelock/core/caller_memory.hpp
+++ b/packages/core/include/sycamorelock/core/caller_memory.hpp
@@ -31,6 +31,14 @@
     /// gives way to any other.
     duration stall;
 
+    /// Largest body of a request that is served while no other holds much: it
+    /// grows by a quarter at a time, beside its header and what it takes to be
+    /// served.
+    [[nodiscard]] byte_count largest_body() const
+    {
+        return byte_count(total.value() / 2);
+    }
+
     /// Limits for one of several threads that have an even part each.
     [[nodiscard]] caller_memory_limits part_of(std::size_t threads) const
     {
--- a/packages/core/unittests/caller_memory_test.cpp
+++ b/packages/core/unittests/caller_memory_test.cpp
@@ -42,6 +42,27 @@
     cr_expect_eq(memory.connections(), 0U);
 }
 
+Test(caller_memory, machines_in_force_bear_their_connections_and_bodies)
+{
+    struct machine
+    {
+        std::size_t megabytes;
+        std::size_t callers;
+    };
+    constexpr std::size_t largest_body = 4UL * 1024 * 1024;
+    // Six in ten descriptors are for callers.
+    for (const machine& each :
+         {machine{120, 1845}, {160, 2460}, {260, 2460}, {512, 6150}})
+    {
+        const caller_memory memory(caller_memory_of(megabytes(each.megabytes)));
+        cr_expect_geq(memory.max_connections(), each.callers, "%zu MB",
+                      each.megabytes);
+        cr_expect(memory.limits().largest_body() >= byte_count(largest_body));
+        cr_expect(memory.limits().total.value() * 5 <=
+                  each.megabytes * 1000 * 1000);
+    }
+}
+
 Test(caller_memory, connections_leave_a_quarter_of_the_total)
 {
     cr_expect_eq(caller_memory(limits).max_connections(), 187U);
--- a/packages/settings/lib/documents.cpp
+++ b/packages/settings/lib/documents.cpp
@@ -3,6 +3,8 @@
 
 #include "field_values.hpp"
 
+#include "sycamorelock/core/caller_memory.hpp"
+
 #include <openssl/sha.h>
 
 #include <algorithm>
@@ -147,6 +149,24 @@
             });
 }
 
+/// A request within the limits must be served while no other is there.
+void check_memory(reader& in, const values& held)
+{
+    const auto machine =
+        static_cast<std::size_t>(integer_of(held, "memory_mb"));
+    const auto threads =
+        static_cast<std::size_t>(integer_of(held, "traffic_threads"));
+    const auto body =
+        static_cast<std::size_t>(integer_of(held, "max_body_bytes"));
+    const core::caller_memory_limits limits =
+        core::caller_memory_of(core::megabytes(machine)).part_of(threads);
+    if (limits.largest_body().value() < body)
+        in.report(held.at("max_body_bytes"), "process.max_body_bytes",
+                  "must be at most " +
+                      std::to_string(limits.largest_body().value()) +
+                      " with this memory_mb and traffic_threads");
+}
+
 } // namespace
 
 std::string digest_of_key(const std::string& key)
@@ -184,6 +204,7 @@
                           "must hold IP:port");
         }
     }
+    check_memory(in, held);
     in.finish();
     result.name = text_of(held, "name");
     result.domain = text_of(held, "domain");
--- a/packages/settings/unittests/documents_test.cpp
+++ b/packages/settings/unittests/documents_test.cpp
@@ -148,3 +148,32 @@
     cr_assert(text.str().find(reference_tables()) != std::string::npos,
               "paste the output of 'sycamorelock reference'");
 }
+
+// A body within its limit must fit into what callers may hold.
+Test(documents, a_body_limit_beyond_the_memory_is_a_finding)
+{
+    const std::string file = R"(name: a1
+domain: a
+address: 127.0.0.1
+caller_port: 0
+peer_port: 7000
+operator_port: 0
+fleet_key: a-key-for-tests-only
+platform: ['127.0.0.1:1']
+max_body_bytes: 20000000
+)";
+    std::vector<finding> found;
+    try
+    {
+        read_process(file, "a1.yaml");
+    }
+    catch (const settings_error& error)
+    {
+        found = error.findings();
+    }
+    cr_assert_eq(found.size(), 1U);
+    cr_expect(found.front().text.find("memory_mb") != std::string::npos, "%s",
+              found.front().text.c_str());
+    cr_expect_eq(read_process(file + "memory_mb: 400\n", "a1.yaml").memory_mb,
+                 400U);
+}
