Prompts of thousands of parts take bounded memory

What callers could do: each request may name thousands of parts of its prompt that hold no tokens (14 KB of header hold 1,500). The estimate of what engines keep was bounded in tokens only, so such parts were never evicted: 110 bytes each, for each engine that got one.

`prefix_cache` keeps 131,072 parts for all engines together; beyond that the engine with the most parts loses the least recently used. Test: 400 prompts of 2,000 new parts each, between which a usual prompt is used; the bound holds and the usual prompt is still known. Without the bound 800,000 parts were kept (from reading the code: nothing took them out).

--- a/packages/core/include/sycamorelock/core/direct/prefix_cache.hpp
+++ b/packages/core/include/sycamorelock/core/direct/prefix_cache.hpp
@@ -37,6 +37,11 @@
 class prefix_cache
 {
   public:
+    /// Parts that are kept for all engines together. Callers name them, and may
+    /// name thousands that hold few tokens or none. Beyond this the engine with
+    /// the most parts loses those that were used least recently.
+    static constexpr std::size_t max_kept_parts = 128 * 1024;
+
     /// Records that a prompt of these parts was sent to an engine. Has no
     /// effect if the prompt exceeds `capacity`, since an engine rejects it.
     /// \param capacity part of the engine's KV cache, in tokens, that is left
@@ -70,7 +75,10 @@
                double capacity);
 
     /// Drops all parts of an engine that was removed or restarted.
-    void forget(endpoint_id engine) { engines_.erase(engine); }
+    void forget(endpoint_id engine);
+
+    /// Parts that are kept for all engines together.
+    [[nodiscard]] std::size_t size() const { return parts_; }
 
   private:
     struct entry
@@ -92,8 +100,14 @@
         std::optional<duration> evicted_after;
 
         void insert(std::list<entry>::iterator before, const entry& added);
+        void drop_oldest();
     };
+    /// Keeps within `max_kept_parts` after a change of one engine's cache, which had
+    /// `before` parts.
+    void drop_excess(const engine_cache& changed, std::size_t before);
+
     std::map<endpoint_id, engine_cache> engines_;
+    std::size_t parts_ = 0;
 };
 
 } // namespace sycamorelock::core::direct
--- a/packages/core/lib/direct/prefix_cache.cpp
+++ b/packages/core/lib/direct/prefix_cache.cpp
@@ -24,6 +24,35 @@
     tokens += added.tokens;
 }
 
+void prefix_cache::engine_cache::drop_oldest()
+{
+    const entry& oldest = order.back();
+    tokens -= oldest.tokens;
+    index.erase(oldest.key);
+    order.pop_back();
+}
+
+void prefix_cache::forget(endpoint_id engine)
+{
+    const auto found = engines_.find(engine);
+    if (found == engines_.end())
+        return;
+    parts_ -= found->second.order.size();
+    engines_.erase(found);
+}
+
+void prefix_cache::drop_excess(const engine_cache& changed, std::size_t before)
+{
+    parts_ = parts_ - before + changed.order.size();
+    for (; parts_ > max_kept_parts; --parts_)
+    {
+        const auto largest = std::ranges::max_element(
+            engines_, {},
+            [](const auto& each) { return each.second.order.size(); });
+        largest->second.drop_oldest();
+    }
+}
+
 void prefix_cache::touch(endpoint_id engine, std::span<const prompt_part> parts,
                          double capacity, time_point ready_at)
 {
@@ -35,6 +64,7 @@
     if (tokens > capacity)
         return;
     engine_cache& cache = engines_[engine];
+    const std::size_t before = cache.order.size();
     // In reverse, so that the beginning, which other prompts share, ends up as
     // the most recently used.
     for (auto part = parts.rbegin(); part != parts.rend(); ++part)
@@ -55,13 +85,12 @@
     while (cache.tokens > capacity && !cache.order.empty())
     {
         const entry& oldest = cache.order.back();
-        cache.tokens -= oldest.tokens;
         if (oldest.used_at != time_point())
             cache.evicted_after =
                 std::max(duration(0), ready_at - oldest.used_at);
-        cache.index.erase(oldest.key);
-        cache.order.pop_back();
+        cache.drop_oldest();
     }
+    drop_excess(cache, before);
 }
 
 duration prefix_cache::residence(endpoint_id engine, duration limit) const
@@ -94,14 +123,16 @@
                          double capacity)
 {
     engine_cache& cache = engines_[engine];
+    const std::size_t before = cache.order.size();
     for (const prompt_part& part : parts)
     {
         if (cache.tokens + part.tokens > capacity)
-            return;
+            break;
         if (!cache.index.contains(part.key))
             cache.insert(cache.order.end(),
                          {part.key, part.tokens, {}, true, {}});
     }
+    drop_excess(cache, before);
 }
 
 double prefix_cache::cached(endpoint_id engine,
--- a/packages/core/unittests/direct_caches_test.cpp
+++ b/packages/core/unittests/direct_caches_test.cpp
@@ -5,6 +5,9 @@
 
 #include <criterion/criterion.h>
 
+#include <array>
+#include <vector>
+
 using namespace sycamorelock::core;
 using namespace sycamorelock::core::direct;
 
@@ -152,3 +155,28 @@
     cr_expect_not(copies.should_request(start));
     cr_expect(copies.can_provide(start));
 }
+
+// Guards against callers that name thousands of parts without tokens in each
+// prompt, which no capacity in tokens bounds.
+Test(direct_caches, parts_without_tokens_take_bounded_memory)
+{
+    prefix_cache cache;
+    std::uint64_t key = 0;
+    const std::array engines{endpoint_id::of("one"), endpoint_id::of("two")};
+    const std::vector<prompt_part> usual{{1, 500}, {2, 20}};
+    for (std::size_t prompt = 0; prompt < 400; ++prompt)
+    {
+        std::vector<prompt_part> parts(2000);
+        for (prompt_part& each : parts)
+            each.key = 100 + ++key;
+        cache.touch(engines.at(prompt % 2), parts, 100'000);
+        cache.touch(engines.at(prompt % 2), usual, 100'000);
+        cr_assert_leq(cache.size(), prefix_cache::max_kept_parts);
+    }
+    // What is used goes on to be known.
+    for (const endpoint_id engine : engines)
+        cr_expect_float_eq(cache.cached(engine, usual), 520, 1e-6);
+    cache.forget(engines[0]);
+    cache.forget(engines[1]);
+    cr_expect_eq(cache.size(), 0U);
+}
