Strangers at the port for other instances take bounded memory and descriptors

The inbox counts what unfinished messages hold against four of the largest, by the same rules as callers' memory, so a peer that sends on takes the place of those that have stalled. It holds a quarter of the descriptors at the most; beyond that the connection that was heard longest ago ends. Instances send several times a second and connect again.

--- a/packages/adapters/include/sycamorelock/adapters/descriptor_limits.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/descriptor_limits.hpp
@@ -17,6 +17,13 @@
     return descriptors / 5 * 4;
 }
 
+/// Connections of other instances at the most. Half of them are enough for the
+/// largest fleet that the smallest machine is in.
+constexpr std::size_t peer_connections(std::size_t descriptors)
+{
+    return std::max<std::size_t>(descriptors / 4, 1);
+}
+
 /// Connections of readers of pages at the most, at one listener.
 constexpr std::size_t page_connections(std::size_t descriptors)
 {
--- a/packages/adapters/lib/pull_inbox.cpp
+++ b/packages/adapters/lib/pull_inbox.cpp
@@ -1,12 +1,17 @@
 // The receiving end of connections between instances.
 #include "http.hpp"
+#include "memory_share.hpp"
 #include "peer_socket.hpp"
 #include "push_pull.hpp"
 #include "shared_io.hpp"
 #include "sp_framing.hpp"
 
+#include "sycamorelock/adapters/clocks.hpp"
+#include "sycamorelock/adapters/descriptor_limits.hpp"
 #include "sycamorelock/wire/codec.hpp"
 
+#include <algorithm>
+#include <functional>
 #include <mutex>
 #include <set>
 #include <stdexcept>
@@ -24,6 +29,12 @@
 constexpr std::chrono::seconds greeting_limit{10};
 /// Pause after an accept that failed, as when descriptors are used up.
 constexpr std::chrono::milliseconds accept_pause{100};
+/// Messages that arrive at the same time: four of the largest, or thousands of
+/// usual ones. Anybody may connect; what a message holds is known only when it
+/// is whole.
+const core::caller_memory_limits message_memory{
+    core::byte_count(4 * wire::max_datagram), core::byte_count(1024),
+    std::chrono::seconds(1)};
 
 } // namespace
 
@@ -36,8 +47,10 @@
     listener(asio::io_context& io, receiver on_bytes,
              violation_handler on_violation)
         : on_bytes_(std::move(on_bytes)),
-          on_violation_(std::move(on_violation)), acceptor_(io), pause_(io),
-          scratch_(read_size)
+          on_violation_(std::move(on_violation)),
+          memory_(message_memory, counters_),
+          most_peers_(peer_connections(descriptor_limit())), acceptor_(io),
+          pause_(io), scratch_(read_size)
     {
     }
 
@@ -66,13 +79,18 @@
   private:
     struct peer
     {
-        explicit peer(tcp::socket accepted)
-            : socket(std::move(accepted)), greeting(socket.get_executor())
+        peer(tcp::socket accepted, memory_pool& pool,
+             std::function<void(peer*)> on_evicted)
+            : socket(std::move(accepted)), greeting(socket.get_executor()),
+              memory(pool, [this, on_evicted = std::move(on_evicted)]
+                     { on_evicted(this); })
         {
         }
         tcp::socket socket;
         asio::steady_timer greeting;
         sp::frame_reader reader{sp::protocol::push, wire::max_datagram};
+        memory_share memory;
+        core::time_point heard_at = now();
     };
     using peer_pointer = std::shared_ptr<peer>;
 
@@ -86,11 +104,36 @@
                     return;
                 if (error)
                     return self->accept_later();
-                self->add(std::make_shared<peer>(std::move(socket)));
+                self->make_room();
+                self->add(
+                    std::make_shared<peer>(std::move(socket), self->memory_,
+                                           [owner = self.get()](peer* which)
+                                           { owner->evict(which); }));
                 self->accept();
             });
     }
 
+    /// Instances send several times a second, so the connection that was heard
+    /// longest ago is none of theirs, or will be opened again.
+    void make_room()
+    {
+        if (peers_.size() < most_peers_)
+            return;
+        const auto quietest = std::ranges::min_element(
+            peers_, {},
+            [](const peer_pointer& each) { return each->heard_at; });
+        end(*quietest, sp::violation::evicted);
+    }
+
+    void evict(peer* which)
+    {
+        const auto found =
+            std::ranges::find_if(peers_, [which](const peer_pointer& each)
+                                 { return each.get() == which; });
+        if (found != peers_.end())
+            end(*found, sp::violation::evicted);
+    }
+
     void accept_later()
     {
         pause_.expires_after(accept_pause);
@@ -149,9 +192,14 @@
             return wait_for(from);
         if (error)
             return end(from, from->reader.at_end());
-        const sp::violation found =
+        from->heard_at = now();
+        sp::violation found =
             from->reader.read({scratch_.data(), size}, [this](std::string bytes)
                               { on_bytes_(std::move(bytes)); });
+        from->memory.note_progress();
+        if (found == sp::violation::none &&
+            !from->memory.hold(memory_part::unparsed, from->reader.held()))
+            found = sp::violation::evicted;
         if (found != sp::violation::none)
             return end(from, found);
         if (from->reader.greeted())
@@ -159,7 +207,8 @@
         wait_for(from);
     }
 
-    void end(const peer_pointer& from, sp::violation why)
+    // By value: the last other pointer may be the list's.
+    void end(peer_pointer from, sp::violation why)
     {
         if (!peers_.contains(from))
             return;
@@ -182,6 +231,9 @@
     std::mutex mutex_;
     receiver on_bytes_;
     violation_handler on_violation_;
+    caller_metrics counters_;
+    memory_pool memory_;
+    std::size_t most_peers_;
     tcp::acceptor acceptor_;
     asio::steady_timer pause_;
     std::set<peer_pointer> peers_;
--- a/packages/adapters/lib/sp_framing.cpp
+++ b/packages/adapters/lib/sp_framing.cpp
@@ -8,8 +8,8 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 5> violation_names = {
-    "none", "wrong_greeting", "no_greeting", "too_large", "cut_off"};
+constexpr std::array<std::string_view, 6> violation_names = {
+    "none", "wrong_greeting", "no_greeting", "too_large", "cut_off", "evicted"};
 
 } // namespace
 
--- a/packages/adapters/lib/sp_framing.hpp
+++ b/packages/adapters/lib/sp_framing.hpp
@@ -28,6 +28,8 @@
     no_greeting,
     too_large,
     cut_off,
+    /// Its memory or its descriptor was needed for another connection.
+    evicted,
 };
 
 /// Name of a violation in logs and metrics.
@@ -76,6 +78,8 @@
     }
 
     [[nodiscard]] bool greeted() const { return reading_ != part::greeting; }
+    /// Bytes of memory that hold what has arrived of a message.
+    [[nodiscard]] std::size_t held() const { return held_.capacity(); }
 
     /// What it means that the connection ends now.
     [[nodiscard]] violation at_end() const;
--- a/packages/adapters/unittests/push_pull_test.cpp
+++ b/packages/adapters/unittests/push_pull_test.cpp
@@ -222,6 +222,39 @@
     cr_expect(held.violations.front() == "no_greeting");
 }
 
+// Strangers that stop just short of the end of large messages, and a peer whose
+// large message comes in pieces beside them.
+Test(push_pull, unfinished_messages_take_bounded_memory, .timeout = 60)
+{
+    const std::string ip = own_ip(20);
+    recording_inbox held(ip);
+    const long before = resident_kb();
+    std::list<raw_peer> strangers;
+    const std::string most(wire::max_datagram - 1, 'x');
+    for (int i = 0; i < 40; ++i)
+    {
+        raw_peer& each = strangers.emplace_back(held.io, ip);
+        each.greet();
+        each.announce(wire::max_datagram);
+        for (std::size_t at = 0; at < most.size(); at += 64 * 1024)
+        {
+            // Those that give way are closed.
+            boost::system::error_code ignored;
+            boost::asio::write(each.socket,
+                               boost::asio::buffer(most.substr(at, 64 * 1024)),
+                               ignored);
+            held.io.poll();
+        }
+    }
+    cr_expect_lt(resident_kb() - before, 24'000, "%ld KB",
+                 resident_kb() - before);
+    push_link good(held.io, own_ip(21), ip + port);
+    const std::string large(wire::max_datagram, 'y');
+    good.send(large);
+    cr_assert(runs_until(held.io, [&] { return held.messages.size() == 1; }));
+    cr_expect(held.messages.front() == large);
+}
+
 // A peer that never reads: what waits for it is bounded in messages and in
 // bytes, sending never blocks, and the close of the link does not wait.
 Test(push_pull, a_peer_that_never_reads_costs_a_bounded_queue, .timeout = 20)
--- a/test/integration/crowds_test.cpp
+++ b/test/integration/crowds_test.cpp
@@ -149,6 +149,20 @@
         script_of("a_trailer_line_without_end", page_forms("/metrics")));
 }
 
+Test(peer_crowds, unfinished_messages_in_direct_routing, .timeout = 90)
+{
+    direct_process process;
+    check_crowd(process.watched(), process.instance().peer_address(),
+                unfinished_peer_message());
+}
+
+Test(peer_crowds, unfinished_messages_in_scheduled_routing, .timeout = 90)
+{
+    scheduled_process process;
+    check_crowd(process.watched(), process.instance().peer_address(),
+                unfinished_peer_message());
+}
+
 // A caller with the largest body that is allowed is served in calm.
 Test(direct_crowds, a_body_of_the_limit_is_served_in_calm, .timeout = 60)
 {
--- a/test/integration/descriptors_test.cpp
+++ b/test/integration/descriptors_test.cpp
@@ -1,4 +1,5 @@
 // Instances whose descriptors run out: new connections wait, nothing ends.
+#include "crowd_cases.hpp"
 #include "direct_fleet.hpp"
 #include "fleet.hpp"
 
@@ -8,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
+#include <atomic>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -378,6 +380,31 @@
     }
 }
 
+// Connections at the port for other instances that say no more than a greeting.
+Test(descriptors, silent_peers_leave_descriptors_to_callers, .timeout = 60)
+{
+    direct_plan plan = one_direct_instance();
+    plan.extra = "max_descriptors: 200\n";
+    const auto direct = start_with<direct_fleet>(200, plan);
+    const auto scheduled = start_with<fleet>(200, one_instance());
+    const crowd_script greeting{peer_greeting()};
+    std::atomic<int> crowds{2};
+    const auto crowd_at = [&](const std::string& address)
+    {
+        play_crowd(address, greeting, 250, seconds(12));
+        --crowds;
+    };
+    std::thread first([&] { crowd_at(direct->at(0).peer_address()); });
+    std::thread second([&] { crowd_at(scheduled->at(0).peer_address()); });
+    std::this_thread::sleep_for(seconds(1));
+    cr_expect_eq(ask(direct->make_call(0, "/look/1")).status, 200U);
+    const answer got = ask_now(scheduled->make_call(0, "north", "desk"));
+    cr_expect(got.completed(), "%u %s", got.status, got.failure.c_str());
+    cr_expect_eq(crowds.load(), 2, "answered after the crowds had left");
+    first.join();
+    second.join();
+}
+
 // Balancers go by the pages: they answer also when others have all descriptors.
 Test(descriptors, pages_answer_without_a_free_descriptor, .timeout = 60)
 {
--- a/test/standins/crowd_cases.cpp
+++ b/test/standins/crowd_cases.cpp
@@ -181,6 +181,23 @@
     return all;
 }
 
+std::string peer_greeting()
+{
+    using namespace std::string_literals;
+    return "\0SP\0\0\x50\0\0"s;
+}
+
+crowd_script unfinished_peer_message()
+{
+    static constexpr std::size_t largest = 2UL * 1024 * 1024;
+    static constexpr unsigned byte_bits = 8;
+    std::string length;
+    for (unsigned i = 0; i < byte_bits; ++i)
+        length.insert(length.begin(),
+                      static_cast<char>(largest >> (byte_bits * i)));
+    return {peer_greeting() + length, "x", largest - 1};
+}
+
 crowd_script script_of(const std::string& name, const request_forms& forms)
 {
     for (const crowd_case& each : crowd_cases())
--- a/test/standins/crowd_cases.hpp
+++ b/test/standins/crowd_cases.hpp
@@ -33,6 +33,12 @@
 request_forms scheduled_forms();
 request_forms page_forms(const std::string& path);
 
+/// Greeting of another instance, as anybody can send it.
+std::string peer_greeting();
+/// What a stranger sends at the port for other instances: the largest message
+/// but for its last byte.
+crowd_script unfinished_peer_message();
+
 /// Name of a way of sending, and the way.
 struct crowd_case
 {
