Methods without a name in the library are passed on, and attempts always end

Cause: building the endpoint's request from the method's number throws for a method that has none; the session ended without an end of its attempt, so the endpoint's slot stayed taken. The method goes by its text now, as the body and the path do, and an attempt in direct routing that meets an unexpected error reports its end to the router.

--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -157,11 +157,26 @@
     else if (!may_send())
         end = attempt_end::withheld;
     else
+        end = co_await send_and_read();
+    co_return end_or_wait(end);
+}
+
+asio::awaitable<attempt_end> attempt::send_and_read()
+{
+    try
     {
         send();
-        end = co_await read_answer();
+        co_return co_await read_answer();
+    }
+    catch (const std::exception& error)
+    {
+        // The router must learn of the end, or it counts the request for ever.
+        context_.log.write(
+            direct_event::session_failed,
+            {{"error", error.what()}, {"request", request_.meta.attempt_id}});
+        malformed_ = true;
+        co_return stopped("unexpected_error");
     }
-    co_return end_or_wait(end);
 }
 
 asio::awaitable<attempt_end> attempt::resume()
@@ -383,8 +398,11 @@
 void attempt::send()
 {
     const caller_message& asked = request_.message;
-    sending_ =
-        std::make_shared<request_out>(asked.method(), asked.target(), 11);
+    sending_ = std::make_shared<request_out>();
+    sending_->version(11);
+    // Methods that the library has no name for are passed on like others.
+    sending_->method_string(asked.method_string());
+    sending_->target(asked.target());
     const dialect_table& dialect = context_.dialect;
     copy_end_to_end(asked, *sending_, dialect.set_by_us,
                     dialect.always_forwarded);
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -122,6 +122,9 @@
     /// Whether the endpoint may still be sent the request.
     bool may_send();
     void send();
+    /// Sends the request and reads its answer. An unexpected error counts as an
+    /// answer that cannot be used.
+    asio::awaitable<attempt_end> send_and_read();
     /// Takes in what an answer says of its endpoint.
     void note_endpoint(const answer_meta& answer);
     /// Header of the answer to this request, which the parser then holds;
--- a/packages/adapters/lib/endpoint_call.cpp
+++ b/packages/adapters/lib/endpoint_call.cpp
@@ -143,8 +143,11 @@
 asio::awaitable<bool> endpoint_call::send()
 {
     const caller_request& asked = context_.request;
-    http::request<http::span_body<const char>> out(asked.method(),
-                                                   context_.target, 11);
+    http::request<http::span_body<const char>> out;
+    out.version(11);
+    // Methods that the library has no name for are passed on like others.
+    out.method_string(asked.method_string());
+    out.target(context_.target);
     copy_end_to_end(asked, out, is_own_field);
     out.set(http::field::host, "endpoint");
     out.set("X-Request-Id", to_string(order_.request));
