No field of an endpoint's or the store's trailers ends a process

Cause: the parser throws at such a field, inside an operation of the event loop. The bytes that may wait for the parser were bounded by 128 KB; they are by 64 KB now, below what throws. And an exception that leaves a handler of a traffic thread no longer ends the process: it is logged and counted (`handler_failed`), and what the handler worked on ends.

fleet_endless has the case.

--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -56,6 +56,7 @@
     endpoint_endless = 1302,
     event_malformed = 1303,
     session_failed = 1304,
+    handler_failed = 1305,
     invariant_answer_mixed = 1901,
 };
 
@@ -76,6 +77,7 @@
     event_malformed = 3012,
     request_unreadable = 3013,
     session_failed = 3014,
+    handler_failed = 3015,
     endpoint_seen = 3101,
     endpoint_draining = 3102,
     endpoint_gone = 3103,
--- a/packages/adapters/lib/answer_limits.hpp
+++ b/packages/adapters/lib/answer_limits.hpp
@@ -12,8 +12,9 @@
 /// Bytes of a header.
 inline constexpr std::uint32_t max_answer_header = 64 * 1024;
 /// Bytes held until the parser can use them: a header, the line before a chunk,
-/// trailers. The parser bounds only headers.
-inline constexpr std::size_t max_unparsed = 2UL * max_answer_header;
+/// trailers. The parser bounds only headers, and throws at a field that is
+/// longer than this.
+inline constexpr std::size_t max_unparsed = max_answer_header;
 /// Headers that may come before that of the answer: informational ones and
 /// answers to earlier requests on the connection.
 inline constexpr unsigned max_leading_headers = 16;
--- a/packages/adapters/lib/caller_server.cpp
+++ b/packages/adapters/lib/caller_server.cpp
@@ -6,6 +6,7 @@
 #include "listener.hpp"
 
 #include "sycamorelock/adapters/descriptor_limits.hpp"
+#include "sycamorelock/adapters/guarded_run.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 
@@ -28,9 +29,17 @@
     {
     }
 
-    void start()
+    void start(event_log& log)
     {
-        thread_ = std::thread([this] { context_.run(); });
+        thread_ = std::thread(
+            [this, &log]
+            {
+                run_guarded(context_,
+                            [&log](const std::exception& error) {
+                                log.write(process_event::handler_failed,
+                                          {{"error", error.what()}});
+                            });
+            });
     }
     void stop()
     {
@@ -113,7 +122,7 @@
     void start()
     {
         for (worker& each : workers_)
-            each.start();
+            each.start(control_.log());
         listener_->start();
     }
 
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -72,6 +72,10 @@
     event_kind{1304, error, "session_failed",
                "An unexpected error ended the connection of a caller; the "
                "others go on."},
+    event_kind{
+        1305, error, "handler_failed",
+        "An unexpected error left a handler of a traffic thread; what the "
+        "handler worked on has ended, the rest goes on."},
     event_kind{
         1901, error, "invariant_answer_mixed",
         "An endpoint's answer named another request; it was not passed on."},
@@ -160,6 +164,10 @@
     event_kind{3014, error, "session_failed",
                "An unexpected error ended the connection of a caller; the "
                "others go on."},
+    event_kind{
+        3015, error, "handler_failed",
+        "An unexpected error left a handler of a traffic thread; what the "
+        "handler worked on has ended, the rest goes on."},
     event_kind{3101, info, "endpoint_seen",
                "An endpoint registered or changed its entry."},
     event_kind{3102, info, "endpoint_drains",
--- a/packages/daemon/lib/direct_daemon.cpp
+++ b/packages/daemon/lib/direct_daemon.cpp
@@ -8,6 +8,7 @@
 #include "sycamorelock/adapters/direct/control_plane.hpp"
 #include "sycamorelock/adapters/direct/page_server.hpp"
 #include "sycamorelock/adapters/direct/traffic_plane.hpp"
+#include "sycamorelock/adapters/guarded_run.hpp"
 #include "sycamorelock/platform/dialect.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -84,7 +85,13 @@
             [this]
             {
                 const auto work = boost::asio::make_work_guard(traffic_io_);
-                traffic_io_.run();
+                adapters::run_guarded(
+                    traffic_io_,
+                    [this](const std::exception& error)
+                    {
+                        log_.write(adapters::direct_event::handler_failed,
+                                   {{"error", error.what()}});
+                    });
             });
         control_io_.run();
         traffic_io_.stop();
--- a/test/integration/endless_test.cpp
+++ b/test/integration/endless_test.cpp
@@ -48,6 +48,10 @@
         {"chunk size", {chunked, "0"}},
         {"trailers", {chunked + "2\r\nab\r\n0\r\n", "X-A: b\r\n"}},
         {"trailer line", {chunked + "2\r\nab\r\n0\r\nX-A: ", "a"}},
+        {"whole trailer field",
+         {chunked + "2\r\nab\r\n0\r\nX-A: " + std::string(70000, 'a') +
+              "\r\n\r\n",
+          "a"}},
         {"event", {events + "\r\nid: 1\ndata: ", "a"}},
         {"lines of an event", {events + "\r\nid: 1\n", "data: a\n"}},
         {"chunked event",
