--- a/packages/adapters/lib/caller_session.cpp
+++ b/packages/adapters/lib/caller_session.cpp
@@ -3,6 +3,7 @@
 
 #include "drain_limits.hpp"
 #include "request_fields.hpp"
+#include "scoped_count.hpp"
 #include "socket_state.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
@@ -22,22 +23,6 @@
 /// of the answer, what is read of it at a time, and the state of the call.
 constexpr std::size_t serving_bytes = 40UL * 1024;
 
-/// Counts a request as long as it is unfinished.
-class busy_count
-{
-  public:
-    explicit busy_count(std::atomic<std::size_t>& count) : count_(count)
-    {
-        ++count_;
-    }
-    ~busy_count() { --count_; }
-    busy_count(const busy_count&) = delete;
-    busy_count& operator=(const busy_count&) = delete;
-
-  private:
-    std::atomic<std::size_t>& count_;
-};
-
 std::string describe(request_error reason)
 {
     using enum request_error;
@@ -290,7 +275,7 @@
     first_request_ = false;
     bool more = false;
     {
-        const busy_count counted(shared_.busy);
+        const scoped_count counted(shared_.busy);
         more = co_await read_and_handle();
     }
     memory_.drop(memory_part::header);
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -3,6 +3,7 @@
 
 #include "termination_check.hpp"
 
+#include "../scoped_count.hpp"
 #include "../socket_state.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
@@ -28,6 +29,8 @@
 constexpr milliseconds overlap_time{100};
 /// Time that a caller has to take in why its request could not be read.
 constexpr milliseconds linger_time{1000};
+/// Bytes read at a time of what is not looked at.
+constexpr std::size_t read_ahead = 4096;
 /// When a caller may come back that found no memory: those that have stalled
 /// give way much sooner.
 constexpr milliseconds memory_retry{1000};
@@ -51,19 +54,6 @@
     return end != attempt_end::unreachable && end != attempt_end::withheld;
 }
 
-/// Counts a request as long as it is open.
-class open_count
-{
-  public:
-    explicit open_count(std::uint64_t& count) : count_(count) { ++count_; }
-    ~open_count() { --count_; }
-    open_count(const open_count&) = delete;
-    open_count& operator=(const open_count&) = delete;
-
-  private:
-    std::uint64_t& count_;
-};
-
 /// Whether an attempt that ended so may have begun to run the request.
 bool may_have_run(attempt_end end)
 {
@@ -263,7 +253,7 @@
                             error_code unused;
                             socket_.cancel(unused);
                         });
-    std::array<char, 4096> ignored_bytes;
+    std::array<char, read_ahead> ignored_bytes;
     for (;;)
     {
         auto [error, bytes] = co_await socket_.async_read_some(
@@ -323,7 +313,7 @@
 request_session::carry_out(open_request& request,
                            core::direct::placement_decision first)
 {
-    const open_count counted(context_.metrics.open);
+    const scoped_count counted(context_.metrics.open);
     watch_caller();
     context_.limits.set(limit_, request.profile.deadline,
                         [this] { stop_request(stop::time_over); });
--- a/packages/core/include/sycamorelock/core/direct/prefix_cache.hpp
+++ b/packages/core/include/sycamorelock/core/direct/prefix_cache.hpp
@@ -102,8 +102,8 @@
         void insert(std::list<entry>::iterator before, const entry& added);
         void drop_oldest();
     };
-    /// Keeps within `max_kept_parts` after a change of one engine's cache, which had
-    /// `before` parts.
+    /// Keeps within `max_kept_parts` after a change of one engine's cache,
+    /// which had `before` parts.
     void drop_excess(const engine_cache& changed, std::size_t before);
 
     std::map<endpoint_id, engine_cache> engines_;
--- a/packages/daemon/lib/main.cpp
+++ b/packages/daemon/lib/main.cpp
@@ -31,9 +31,10 @@
     std::_Exit(exit_ok);
 }
 
-/// Blocks from this size on are mapped alone, so that they go back to the system
-/// when they are freed. Left to itself, the allocator raises this size to that
-/// of the largest block freed, and large requests leave holes in the heap.
+/// Blocks from this size on are mapped alone, so that they go back to the
+/// system when they are freed. Left to itself, the allocator raises this size
+/// to that of the largest block freed, and large requests leave holes in the
+/// heap.
 constexpr int mapped_block_bytes = 128 * 1024;
 
 void return_freed_memory()
--- a/test/integration/crowds_test.cpp
+++ b/test/integration/crowds_test.cpp
@@ -20,6 +20,7 @@
 /// Descriptors that may be open after a crowd and were not before: connections
 /// to an endpoint that are kept, 32 by each of two threads.
 constexpr std::size_t kept_descriptors = 72;
+
 /// Plays crowds one after another and checks what must hold after each.
 void check_crowds(const watched_process& at, const std::string& address,
                   const std::vector<std::vector<crowd_script>>& crowds)
@@ -110,7 +111,7 @@
 {
     direct_process process;
     check_crowds(process.watched(), process.instance().ready_address(),
-                 drawn_crowds(2, 3, crowd_size, page_forms("/v1/readyz")));
+                 drawn_crowds(2, 3, crowd_size, ready_page_forms()));
 }
 
 Test(page_crowds, mixed_crowds_at_the_metrics_page, .timeout = 90)
@@ -130,9 +131,8 @@
 Test(page_crowds, trailers_without_end_at_the_ready_page, .timeout = 90)
 {
     direct_process process;
-    check_crowd(
-        process.watched(), process.instance().ready_address(),
-        script_of("a_trailer_line_without_end", page_forms("/v1/readyz")));
+    check_crowd(process.watched(), process.instance().ready_address(),
+                script_of("a_trailer_line_without_end", ready_page_forms()));
 }
 
 Test(page_crowds, trailers_without_end_at_the_metrics_page, .timeout = 90)
--- a/test/integration/endless_test.cpp
+++ b/test/integration/endless_test.cpp
@@ -69,18 +69,6 @@
     };
 }
 
-/// Most memory that a process has held.
-long peak_memory_kb(pid_t process)
-{
-    std::ifstream in("/proc/" + std::to_string(process) + "/status");
-    for (std::string line; std::getline(in, line);)
-    {
-        if (line.starts_with("VmHWM:"))
-            return std::strtol(line.c_str() + 6, nullptr, 10);
-    }
-    return 0;
-}
-
 direct_plan one_of_each()
 {
     direct_plan plan;
--- a/test/soak/crowds.cpp
+++ b/test/soak/crowds.cpp
@@ -98,8 +98,8 @@
         return use(
             target{process.watched(), at.caller_address(), direct_forms()});
     if (listener == "ready")
-        return use(target{process.watched(), at.ready_address(),
-                          page_forms("/v1/readyz")});
+        return use(
+            target{process.watched(), at.ready_address(), ready_page_forms()});
     if (listener == "metrics")
         return use(target{process.watched(), at.metrics_address(),
                           page_forms("/metrics")});
--- a/test/standins/crowd_cases.cpp
+++ b/test/standins/crowd_cases.cpp
@@ -1,8 +1,6 @@
 // The cases as they were seen, and drawn mixes of them.
 #include "crowd_cases.hpp"
 
-#include <filesystem>
-#include <fstream>
 #include <sstream>
 
 namespace standin
@@ -283,26 +281,9 @@
             "GET /nowhere HTTP/1.1\r\nHost: f\r\n"};
 }
 
-/// Most memory that a process has held.
-long peak_memory_kb(pid_t process)
+request_forms ready_page_forms()
 {
-    std::ifstream in("/proc/" + std::to_string(process) + "/status");
-    for (std::string line; std::getline(in, line);)
-    {
-        if (line.starts_with("VmHWM:"))
-            return std::strtol(line.c_str() + 6, nullptr, 10);
-    }
-    return 0;
-}
-
-std::size_t descriptors_of(pid_t process)
-{
-    std::size_t count = 0;
-    std::error_code gone;
-    const std::string folder = "/proc/" + std::to_string(process) + "/fd";
-    for (const auto& each : std::filesystem::directory_iterator(folder, gone))
-        count += each.path().empty() ? 0 : 1;
-    return count;
+    return page_forms("/v1/readyz");
 }
 
 watched_process direct_process::watched()
--- a/test/standins/crowd_cases.hpp
+++ b/test/standins/crowd_cases.hpp
@@ -34,6 +34,7 @@
 request_forms direct_forms();
 request_forms scheduled_forms();
 request_forms page_forms(const std::string& path);
+request_forms ready_page_forms();
 
 /// Greeting of another instance, as anybody can send it.
 std::string peer_greeting();
@@ -59,11 +60,6 @@
                                                     std::size_t size,
                                                     const request_forms& forms);
 
-/// Most memory that a process has held, in KB; 0 if it is gone.
-long peak_memory_kb(pid_t process);
-/// Descriptors that a process has open.
-std::size_t descriptors_of(pid_t process);
-
 /// An instance, alike for both ways of routing.
 struct watched_process
 {
--- a/test/standins/process.cpp
+++ b/test/standins/process.cpp
@@ -8,6 +8,7 @@
 
 #include <array>
 #include <atomic>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -73,6 +74,27 @@
     return process;
 }
 
+long peak_memory_kb(pid_t process)
+{
+    std::ifstream in("/proc/" + std::to_string(process) + "/status");
+    for (std::string line; std::getline(in, line);)
+    {
+        if (line.starts_with("VmHWM:"))
+            return std::strtol(line.c_str() + 6, nullptr, 10);
+    }
+    return 0;
+}
+
+std::size_t descriptors_of(pid_t process)
+{
+    std::size_t count = 0;
+    std::error_code gone;
+    const std::string folder = "/proc/" + std::to_string(process) + "/fd";
+    for (const auto& each : std::filesystem::directory_iterator(folder, gone))
+        count += each.path().empty() ? 0 : 1;
+    return count;
+}
+
 std::string text_of(const std::string& file)
 {
     std::ifstream in(file);
--- a/test/standins/process.hpp
+++ b/test/standins/process.hpp
@@ -18,6 +18,11 @@
 /// Waits for the end of a process; false if it takes too long.
 bool wait_for_exit(pid_t process, std::chrono::seconds limit, int* status);
 
+/// Most memory that a process has held, in KB; 0 if it is gone.
+long peak_memory_kb(pid_t process);
+/// Descriptors that a process has open.
+std::size_t descriptors_of(pid_t process);
+
 /// Text of a file; empty if there is none.
 std::string text_of(const std::string& file);
 
