A silent endpoint keeps its request until another one has taken it

The engine paused for longer than four pause objectives, another one was asked, and took over 100 ms to decline. Requests without events were answered 502 in the same way.

Cause: request_session gave the silent attempt up 100 ms after the other endpoint was asked, before that one had said anything, and did not read what the silent one sent meanwhile. To ask is to order the work, and two may not work on one request for over 400 ms, so a clock had to end one of both; it ended the one that had proved to run. Ruled out: the shutdown (the same without one) and the request's time (10 of 12 s left). The log did not tell when the attempt was given up: handover_ended (3017) and handovers_total do.

Fix: core::direct::handover, pure, decides from what both endpoints say. The silent one is watched while the other one is asked; the first that says something decides. If neither does for 300 ms, the question is withdrawn, with a reset, and repeated once half a limit later; only then, or if it had not begun its answer, the silent one is left. One that was left so is asked again if its replacement declines; max_attempts counts endpoints, the budget each repeat.

--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
@@ -80,6 +80,9 @@
     /// Limits on an endpoint's silence that were reached, by what the
     /// connection held at that moment.
     std::map<std::string, std::uint64_t> silences;
+    /// Handovers from a silent endpoint, by which endpoint went on and why:
+    /// "who/why".
+    std::map<std::string, std::uint64_t> handovers;
     /// Answers given up as they had no end, by the part that had none.
     std::map<std::string, std::uint64_t> endless;
     /// Pieces of streams that were not the next event, by what they lacked.
--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -79,6 +79,7 @@
     session_failed = 3014,
     handler_failed = 3015,
     attempt_failed = 3016,
+    handover_ended = 3017,
     endpoint_seen = 3101,
     endpoint_draining = 3102,
     endpoint_gone = 3103,
--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -101,6 +101,8 @@
         return "broken";
     case abandoned:
         return "abandoned";
+    case withdrawn:
+        return "withdrawn";
     }
     return "unknown";
 }
@@ -122,6 +124,16 @@
     channel_->socket.close(ignored);
 }
 
+void attempt::withdraw()
+{
+    withdrawn_ = true;
+    if (!channel_)
+        return;
+    error_code ignored;
+    channel_->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    channel_->socket.close(ignored);
+}
+
 core::direct::attempt_outcome attempt::outcome_of(attempt_end end) const
 {
     using core::direct::attempt_outcome;
@@ -143,6 +155,7 @@
         return attempt_outcome::failed;
     case attempt_end::withheld:
     case attempt_end::abandoned:
+    case attempt_end::withdrawn:
         return attempt_outcome::abandoned;
     }
     return attempt_outcome::abandoned;
@@ -180,10 +193,45 @@
     }
 }
 
-asio::awaitable<attempt_end> attempt::resume()
+std::optional<std::uint64_t> attempt::answered() const
+{
+    return answers_ ? std::optional(read_bytes_) : std::nullopt;
+}
+
+void attempt::watch(std::function<void(socket_state)> found)
+{
+    on_activity_ =
+        std::make_shared<std::function<void(socket_state)>>(std::move(found));
+    watch_connection();
+}
+
+void attempt::watch_connection()
 {
+    channel_->socket.async_wait(
+        tcp::socket::wait_read,
+        [this, watched = std::weak_ptr(on_activity_)](error_code error)
+        {
+            const auto found = watched.lock();
+            // The attempt goes on, or is no more.
+            if (!found)
+                return;
+            const socket_state state =
+                error ? socket_state::ended : look_at(channel_->socket);
+            // Bytes that were read at once are reported late as readable.
+            if (state == socket_state::quiet)
+                watch_connection();
+            else
+                (*found)(state);
+        });
+}
+
+asio::awaitable<attempt_end> attempt::resume(milliseconds within)
+{
+    on_activity_.reset();
+    error_code ignored;
+    channel_->socket.cancel(ignored);
     note_read();
-    expect_within(awaited_);
+    set_silence_limit(within);
     const attempt_end end = co_await read_answer();
     co_return end_or_wait(end);
 }
@@ -193,6 +241,8 @@
     silence_.lift();
     if (abandoned_)
         end = attempt_end::abandoned;
+    else if (withdrawn_)
+        end = sending_ ? attempt_end::withdrawn : attempt_end::withheld;
     else if (waits_)
         return end;
     release();
@@ -206,15 +256,23 @@
     return end;
 }
 
-void attempt::give_up()
+attempt_end attempt::give_up()
 {
+    on_activity_.reset();
     waits_ = false;
-    end_or_wait(unfinished_end());
+    return end_or_wait(unfinished_end());
+}
+
+attempt_end attempt::end_with_connection()
+{
+    silent_ = false;
+    why_ = answers_ ? "stream_cut" : "no_answer";
+    return give_up();
 }
 
 attempt_end attempt::stopped(std::string_view why)
 {
-    why_ = silent_ ? "silent" : why;
+    why_ = withdrawn_ ? "withdrawn" : silent_ ? "silent" : why;
     if (!endless_.empty())
     {
         why_ = "endless";
@@ -243,7 +301,7 @@
     silence_.lift();
     has_shortage_ = is_local_shortage(error);
     has_terminated_ = error == asio::error::connection_refused;
-    if (error || abandoned_)
+    if (error || abandoned_ || withdrawn_)
         co_return false;
     error_code ignored;
     channel_->socket.set_option(tcp::no_delay(true), ignored);
@@ -267,6 +325,11 @@
 void attempt::expect_within(milliseconds time)
 {
     awaited_ = time;
+    set_silence_limit(time);
+}
+
+void attempt::set_silence_limit(milliseconds time)
+{
     buffered_ = channel_->buffer.size();
     context_.limits.set(silence_, now() + time,
                         [this, time]
@@ -287,7 +350,7 @@
     const bool is_silent = connection == socket_state::quiet && !passing_on_ &&
                            channel_->buffer.size() == buffered_;
     if (!is_silent || !request_.secure_next(unfinished_end()))
-        expect_within(limit);
+        expect_within(awaited_);
     else if (skipping_ || !*sent_)
         // Its state does not outlive a cancelled operation.
         give_up_silent();
@@ -591,7 +654,8 @@
 asio::awaitable<std::optional<attempt_end>> attempt::begin_answer()
 {
     const std::optional<answer_meta> meta = co_await read_header();
-    if (!meta)
+    // A header that had arrived when the request was withdrawn is too late.
+    if (!meta || withdrawn_)
         co_return stopped("no_answer");
     body_bytes_ = 0;
     read_bytes_ = 0;
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -37,6 +37,9 @@
     broken,
     /// Given up by this side: the caller left, or its time is over.
     abandoned,
+    /// Sent and withdrawn before it was answered: the endpoint that had the
+    /// request goes on with it.
+    withdrawn,
 };
 std::string_view to_string(attempt_end end);
 
@@ -86,10 +89,26 @@
     [[nodiscard]] bool is_silent() const { return silent_; }
     /// Whether the endpoint sent something that is not the stream's next event.
     [[nodiscard]] bool is_malformed() const { return malformed_; }
+    /// Limit on the endpoint's silence.
+    [[nodiscard]] milliseconds silence_limit() const { return awaited_; }
+    /// Bytes of the answer that have been read; empty if it has not begun.
+    [[nodiscard]] std::optional<std::uint64_t> answered() const;
+    /// Calls back once, when the connection of an attempt that waits can be
+    /// read or ends.
+    void watch(std::function<void(socket_state)> found);
     /// Goes on with an attempt that waits, as `run` does.
-    asio::awaitable<attempt_end> resume();
+    /// \param within limit on the endpoint's silence from now on, until
+    /// something is read of it.
+    asio::awaitable<attempt_end> resume(milliseconds within);
     /// Ends an attempt that waits.
-    void give_up();
+    attempt_end give_up();
+    /// The same, as the connection has ended.
+    attempt_end end_with_connection();
+
+    /// Resets the connection, so that the endpoint does not get the request
+    /// later. For an endpoint that has not begun to answer.
+    void withdraw();
+    [[nodiscard]] bool is_withdrawn() const { return withdrawn_; }
 
     /// Closes the connection to the endpoint, which then drops the request.
     void abandon();
@@ -164,6 +183,8 @@
     void expect_connection();
     /// Looks for another endpoint if nothing is read of this one by then.
     void expect_within(milliseconds time);
+    /// The same, for this once.
+    void set_silence_limit(milliseconds time);
     void on_silence(milliseconds limit);
     /// Ends the wait for the endpoint by closing the connection.
     void give_up_silent();
@@ -175,6 +196,7 @@
     void note_silence(milliseconds limit, socket_state connection);
     /// Passes a piece on to the caller.
     asio::awaitable<error_code> pass_on(std::string_view bytes, bool last);
+    void watch_connection();
     void note_first();
     void note_event();
     void release();
@@ -202,6 +224,8 @@
     std::uint64_t events_before_ = 0;
     held_answer held_;
     watchdog::limit silence_;
+    /// Set while the connection of an attempt that waits is watched.
+    std::shared_ptr<std::function<void(socket_state)>> on_activity_;
     /// Time within which something is expected of the endpoint; zero for none.
     milliseconds awaited_{0};
     /// Bytes read and not used when the limit was set: a header that arrives in
@@ -214,6 +238,7 @@
     core::time_point event_at_;
     core::duration longest_pause_{0};
     bool abandoned_ = false;
+    bool withdrawn_ = false;
     /// This process had nothing left for a connection.
     bool has_shortage_ = false;
     bool has_terminated_ = false;
--- a/packages/adapters/lib/direct/open_request.hpp
+++ b/packages/adapters/lib/direct/open_request.hpp
@@ -4,6 +4,7 @@
 #include "attempt.hpp"
 
 #include "sycamorelock/core/crash_key.hpp"
+#include "sycamorelock/core/direct/handover.hpp"
 #include "sycamorelock/core/direct/router.hpp"
 
 #include <memory>
@@ -18,6 +19,16 @@
     core::direct::placement_decision placed;
     std::optional<attempt> tried;
     attempt_end end = attempt_end::unreachable;
+    /// Its endpoint had not been sent the request before.
+    bool is_first = true;
+};
+
+/// An endpoint that was left before it had answered, refused or failed.
+struct left_endpoint
+{
+    core::direct::placement_decision placed;
+    /// It had the request when another endpoint was asked.
+    bool was_incumbent = false;
 };
 
 struct open_request
@@ -35,7 +46,13 @@
     /// Where the request goes after the attempt that is under way, if an
     /// endpoint was secured for that.
     std::optional<core::direct::placement_decision> next;
-    unsigned attempts = 0;
+    core::direct::handover handover;
+    /// When the candidate of the handover was asked.
+    core::time_point candidate_asked;
+    /// Endpoint that may be asked again.
+    std::optional<left_endpoint> left;
+    /// Endpoints that it was sent to.
+    std::set<core::endpoint_id> asked;
     /// When the first event, or a whole answer, came; zero if none did.
     core::time_point first;
     core::duration longest_pause{0};
@@ -70,6 +87,11 @@
         service_name = found == config->services.end() ? std::string()
                                                        : found->second.name;
     }
+    /// Whether operators allow it to be sent to one more endpoint.
+    [[nodiscard]] bool may_ask_another() const
+    {
+        return asked.size() < profile.route_config->max_attempts;
+    }
     /// Host field without a port.
     [[nodiscard]] std::string_view host() const
     {
--- a/packages/adapters/lib/direct/request_log.cpp
+++ b/packages/adapters/lib/direct/request_log.cpp
@@ -190,7 +190,7 @@
          {"endpoint", decided.endpoint.boot},
          {"version", decided.endpoint.version},
          {"news_ms", ms_text(context_.endpoint_news.at(now()))},
-         {"attempt", std::to_string(request.attempts)},
+         {"attempt", std::to_string(request.asked.size())},
          {"predicted_ms", ms_text(decided.predicted_ms)},
          {"wait_ms", ms_text(decided.wait_ms)},
          {"unseen_ms", ms_text(decided.unseen_ms)},
@@ -249,6 +249,27 @@
          {"after_ms", ms_text(now() - request.profile.arrived)}});
 }
 
+void request_log::handed_over(const open_request& request,
+                              const core::direct::endpoint_record& incumbent,
+                              core::direct::handover_result result,
+                              core::direct::handover_event event)
+{
+    const std::string outcome(to_string(result));
+    const std::string cause(to_string(event));
+    ++context_.metrics.handovers[outcome + '/' + cause];
+    context_.log.write(
+        direct_event::handover_ended,
+        {{"request", request.meta.attempt_id},
+         {"incumbent", incumbent.boot},
+         {"goes_on", outcome},
+         {"event", cause},
+         {"events", std::to_string(request.events.count())},
+         {"overlap_ms", request.candidate_asked == core::time_point()
+                            ? "none"
+                            : ms_text(now() - request.candidate_asked)},
+         {"after_ms", ms_text(now() - request.profile.arrived)}});
+}
+
 void request_log::ended(open_request& request, std::string_view outcome,
                         unsigned status)
 {
@@ -271,7 +292,7 @@
                         {"not_repeated", text_or_none(request.not_repeated)},
                         {"content", content_text(request)},
                         {"status", std::to_string(status)},
-                        {"attempts", std::to_string(request.attempts)},
+                        {"attempts", std::to_string(request.asked.size())},
                         {"events", std::to_string(request.events.count())},
                         {"first_ms", first_text(request)},
                         {"pause_ms", ms_text(request.longest_pause)},
--- a/packages/adapters/lib/direct/request_log.hpp
+++ b/packages/adapters/lib/direct/request_log.hpp
@@ -27,6 +27,12 @@
     /// No other endpoint took the request, so the attempt at `boot`, which was
     /// silent, goes on.
     void kept(const open_request& request, std::string_view boot);
+    /// A handover has ended.
+    /// \param event what decided it.
+    void handed_over(const open_request& request,
+                     const core::direct::endpoint_record& incumbent,
+                     core::direct::handover_result result,
+                     core::direct::handover_event event);
     /// \param status of the final answer, 0 if it has none.
     void ended(open_request& request, std::string_view outcome,
                unsigned status);
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -14,6 +14,8 @@
 namespace
 {
 
+using core::direct::handover_event;
+using core::direct::handover_result;
 using core::direct::refusal;
 using core::direct::refusal_decision;
 
@@ -24,9 +26,6 @@
 constexpr milliseconds soon{500};
 /// No caller is asked to come back sooner: it would find the same queue.
 constexpr milliseconds least_pause{50};
-/// How long two endpoints may have a request: the next one declines at once or
-/// runs it, and then the silent one has to be left.
-constexpr milliseconds overlap_time{100};
 /// Time that a caller has to take in why its request could not be read.
 constexpr milliseconds linger_time{1000};
 /// Bytes that are discarded at a time.
@@ -54,6 +53,19 @@
     return end != attempt_end::unreachable && end != attempt_end::withheld;
 }
 
+/// Calls a function at the end of a scope, also when an exception leaves it.
+template <class Function> class at_scope_end
+{
+  public:
+    explicit at_scope_end(Function function) : function_(std::move(function)) {}
+    ~at_scope_end() { function_(); }
+    at_scope_end(const at_scope_end&) = delete;
+    at_scope_end& operator=(const at_scope_end&) = delete;
+
+  private:
+    Function function_;
+};
+
 /// Whether an attempt that ended so may have begun to run the request.
 bool may_have_run(attempt_end end)
 {
@@ -84,7 +96,6 @@
     ++context_.metrics.caller_connections;
     co_await serve_all();
     limit_.lift();
-    waiting_limit_.lift();
     error_code ignored;
     socket_.close(ignored);
     --context_.metrics.caller_connections;
@@ -313,6 +324,8 @@
                            core::direct::placement_decision first)
 {
     const scoped_count counted(context_.metrics.open);
+    // An attempt that waits refers to the request.
+    const at_scope_end leave_waiting([this] { give_up_waiting(); });
     watch_caller();
     context_.limits.set(limit_, request.profile.deadline,
                         [this] { stop_request(stop::time_over); });
@@ -320,7 +333,6 @@
     while (placed)
         placed = co_await try_at(request, *placed);
     limit_.lift();
-    give_up_waiting();
     ++number_;
     if (watching_)
     {
@@ -462,18 +474,25 @@
 request_session::try_at(open_request& request,
                         core::direct::placement_decision placed)
 {
-    ++request.attempts;
-    request.tried.insert(placed.request_load.endpoint);
+    const core::endpoint_id endpoint = placed.request_load.endpoint;
+    request.tried.insert(endpoint);
+    const bool is_first = request.asked.insert(endpoint).second;
     log_.placed(request, placed);
     streams_.sending(request, placed);
+    if (waiting_)
+        request.handover.begin(waiting_->tried->answered());
     auto open = make_attempt(request, std::move(placed));
+    open->is_first = is_first;
     bool done = co_await follow(request, *open);
+    if (!done)
+        settle(request, handover_event::candidate_declined);
     auto next = done ? std::nullopt : next_of(request, *open);
     const bool may_stay = !done && !next && open->end != attempt_end::held;
     if (may_stay && waiting_ && stop_ == stop::none)
     {
+        if (open->tried->is_withdrawn())
+            request.left = left_endpoint{open->placed, false};
         open = std::move(waiting_);
-        waiting_limit_.lift();
         log_.kept(request, open->placed.endpoint.boot);
         // Its release is the stream's again.
         streams_.sending(request, open->placed);
@@ -482,8 +501,8 @@
     }
     if (next && open->tried->waits())
     {
-        give_up_waiting();
         waiting_ = std::move(open);
+        watch_waiting(request);
     }
     else if (!done && !next)
         co_await give_up(request, *open);
@@ -498,26 +517,34 @@
     auto open = std::make_unique<placed_attempt>();
     open->placed = std::move(placed);
     std::function<bool(attempt_end)> secure_next;
-    if (request.attempts < route_config.max_attempts &&
-        route_config.repeatable())
+    if (request.may_ask_another() && route_config.repeatable())
         secure_next = [this, &request, &at = open->placed](attempt_end after)
         {
+            // No third endpoint is asked meanwhile.
+            if (waiting_)
+                return false;
             // What was passed on binds where the stream may go on.
             streams_.tried(request, at);
-            request.next = place_again(request, after);
+            request.next = place_again(request, after, true);
             return request.next.has_value();
         };
-    const auto sent = [this]
+    const auto sent = [this, &request]
     {
+        request.candidate_asked = now();
         if (waiting_)
-            context_.limits.set(waiting_limit_, now() + overlap_time,
-                                [this] { give_up_waiting(); });
+            context_.limits.set(
+                waiting_limit_,
+                request.candidate_asked + core::direct::handover::max_overlap,
+                [this, &request]
+                { settle(request, handover_event::overlap_over); });
     };
     open->tried.emplace(
         context_,
         attempt_request{request.message, request.meta, request.profile,
                         request.account_name, std::move(secure_next), sent,
-                        [this] { give_up_waiting(); },
+                        [this, &request] {
+                            settle(request, handover_event::candidate_accepted);
+                        },
                         [this, &request] {
                             return !request.is_probe && is_quarantined(request);
                         }},
@@ -532,7 +559,8 @@
     attempt& tried = *which.tried;
     attempt_ = &tried;
     if (tried.waits())
-        which.end = co_await tried.resume();
+        which.end = co_await tried.resume(
+            request.handover.next_limit(tried.silence_limit()));
     else
         which.end = co_await tried.run();
     attempt_ = nullptr;
@@ -546,15 +574,15 @@
         co_return true;
     request.may_have_run = request.may_have_run || may_have_run(which.end);
     request.stopped_by = tried.why();
-    if (!was_sent(which.end))
-        --request.attempts;
+    if (!was_sent(which.end) && which.is_first)
+        request.asked.erase(which.placed.request_load.endpoint);
     co_return false;
 }
 
 std::optional<core::direct::placement_decision>
 request_session::next_of(open_request& request, const placed_attempt& which)
 {
-    if (stop_ != stop::none)
+    if (stop_ != stop::none || which.tried->is_withdrawn())
         return std::nullopt;
     if (which.tried->has_shortage())
     {
@@ -563,7 +591,7 @@
     }
     auto next = std::move(request.next);
     if (!which.tried->is_silent() || !next)
-        next = place_again(request, which.end);
+        next = place_again(request, which.end, which.tried->is_silent());
     if (next)
         log_.repeated(request, which.placed.endpoint.boot, which.end,
                       which.tried->why());
@@ -580,6 +608,46 @@
         co_await answer_failure(request, last.end);
 }
 
+void request_session::watch_waiting(open_request& request)
+{
+    waiting_->tried->watch(
+        [this, &request](socket_state found)
+        {
+            settle(request, found == socket_state::ended
+                                ? handover_event::incumbent_ended
+                                : handover_event::incumbent_sent);
+        });
+}
+
+void request_session::settle(open_request& request, handover_event event)
+{
+    if (!waiting_)
+        return;
+    const handover_result result = request.handover.on(event);
+    if (result == handover_result::undecided)
+        return;
+    waiting_limit_.lift();
+    placed_attempt& incumbent = *waiting_;
+    log_.handed_over(request, incumbent.placed.endpoint, result, event);
+    if (result == handover_result::incumbent)
+    {
+        if (attempt_ != nullptr)
+            attempt_->withdraw();
+        return;
+    }
+    request.left.reset();
+    if (event == handover_event::incumbent_ended)
+    {
+        incumbent.end = incumbent.tried->end_with_connection();
+        note_crash_evidence(request, incumbent);
+    }
+    else
+        incumbent.end = incumbent.tried->give_up();
+    if (event == handover_event::overlap_over)
+        request.left = left_endpoint{incumbent.placed, true};
+    waiting_.reset();
+}
+
 void request_session::give_up_waiting()
 {
     waiting_limit_.lift();
@@ -615,7 +683,8 @@
 }
 
 std::optional<core::direct::placement_decision>
-request_session::place_again(open_request& request, attempt_end after)
+request_session::place_again(open_request& request, attempt_end after,
+                             bool is_silent)
 {
     const core::direct::route& route_config = *request.profile.route_config;
     // Also a request that no endpoint has run goes to no more of them than the
@@ -625,7 +694,7 @@
         request.not_repeated = reason;
         return std::nullopt;
     };
-    if (request.attempts >= route_config.max_attempts)
+    if (!request.may_ask_another() && !request.left)
         return none("attempts_spent");
     if (request.may_have_run && !route_config.repeatable())
         return none("not_repeatable");
@@ -636,17 +705,50 @@
         return none("not_resumable");
     if (request.is_probe || is_quarantined(request))
         return none(to_string(refusal::quarantined));
-    auto decided = context_.router.decide(now(), request.profile,
-                                          request.service, request.tried, true);
-    if (const auto* refused = std::get_if<refusal_decision>(&decided))
-        return none(to_string(refused->reason));
+    std::optional<core::direct::placement_decision> next;
+    std::string_view refused_for = "attempts_spent";
+    if (request.may_ask_another())
+    {
+        auto decided = context_.router.decide(
+            now(), request.profile, request.service, request.tried, true);
+        if (const auto* refused = std::get_if<refusal_decision>(&decided))
+            refused_for = to_string(refused->reason);
+        else
+            next = std::get<core::direct::placement_decision>(decided);
+    }
+    const bool returns = !next;
+    if (returns)
+        next = place_where_left(request, is_silent);
+    if (!next)
+        return none(refused_for);
     // What was not sent brought nothing to any endpoint.
     if (was_sent(after) && !context_.router.spend_retry(request.service))
     {
         ++context_.metrics.refused["retry_budget"];
         return none("retry_budget");
     }
-    return std::get<core::direct::placement_decision>(decided);
+    if (returns)
+        request.left.reset();
+    return next;
+}
+
+std::optional<core::direct::placement_decision>
+request_session::place_where_left(const open_request& request,
+                                  bool is_silent) const
+{
+    // An endpoint that has been replaced is asked again only when its
+    // replacement has ended.
+    if (!request.left || (is_silent && request.left->was_incumbent))
+        return std::nullopt;
+    // What was passed on since may have bound the stream to another release.
+    const auto release = request.profile.release;
+    if (release && *release != request.left->placed.release)
+        return std::nullopt;
+    std::optional<core::direct::placement_decision> placed(
+        request.left->placed);
+    if (!context_.router.renew(now(), *placed))
+        return std::nullopt;
+    return placed;
 }
 
 asio::awaitable<void> request_session::deliver(open_request& request,
--- a/packages/adapters/lib/direct/request_session.hpp
+++ b/packages/adapters/lib/direct/request_session.hpp
@@ -88,6 +88,10 @@
     /// Whether further attempts must not be made because endpoints crash under
     /// the request.
     [[nodiscard]] bool is_quarantined(open_request& request) const;
+    /// Watches for what the endpoint of the attempt that waits sends.
+    void watch_waiting(open_request& request);
+    /// Ends the handover to the present attempt, if the event decides it.
+    void settle(open_request& request, core::direct::handover_event event);
     /// Tells the router what the attempt shows of its endpoint: whether it may
     /// have crashed.
     void note_crash_evidence(open_request& request,
@@ -100,8 +104,13 @@
                                  attempt_end end);
     asio::awaitable<void> deliver(open_request& request, held_answer answer,
                                   std::string_view outcome);
+    /// Another endpoint for the request, or one that it was sent to before.
+    /// \param is_silent whether the endpoint of the present attempt is left for
+    /// its silence only.
     [[nodiscard]] std::optional<core::direct::placement_decision>
-    place_again(open_request& request, attempt_end after);
+    place_again(open_request& request, attempt_end after, bool is_silent);
+    [[nodiscard]] std::optional<core::direct::placement_decision>
+    place_where_left(const open_request& request, bool is_silent) const;
     asio::awaitable<void> answer_failure(open_request& request,
                                          attempt_end last);
     asio::awaitable<void>
--- a/packages/adapters/lib/direct/traffic_metrics.cpp
+++ b/packages/adapters/lib/direct/traffic_metrics.cpp
@@ -82,6 +82,10 @@
              "Limits on the silence of an endpoint that were reached, by the "
              "state of the connection.",
              silences);
+    labelled(out, "handovers_total", "decided",
+             "Other endpoints asked because one was silent, by which of both "
+             "went on with the request and why.",
+             handovers);
     labelled(out, "endpoint_endless_total", "part",
              "Answers of endpoints that were given up, by the part that was "
              "longer than it may be.",
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -171,6 +171,9 @@
     event_kind{3016, error, "attempt_failed",
                "An unexpected error ended an attempt; the request goes on as "
                "after an answer that cannot be used."},
+    event_kind{3017, info, "handover_ended",
+               "A request's endpoint was silent and another one was asked; "
+               "`goes_on` tells which of them has the request, `event` why."},
     event_kind{3101, info, "endpoint_seen",
                "An endpoint registered or changed its entry."},
     event_kind{3102, info, "endpoint_drains",
--- a/packages/core/include/sycamorelock/core/direct/router.hpp
+++ b/packages/core/include/sycamorelock/core/direct/router.hpp
@@ -218,6 +218,10 @@
     /// before the first byte is written.
     [[nodiscard]] std::optional<withheld_reason>
     withheld(time_point now, const placement_decision& placement) const;
+    /// Makes the placement of an attempt that has ended that of another one at
+    /// the same endpoint, without a fetch. Returns false if the request must
+    /// not be sent there any more.
+    bool renew(time_point now, placement_decision& placement) const;
     /// Whether the source engine of a planned KV cache fetch may still be
     /// used.
     [[nodiscard]] bool may_fetch(time_point now, const fetch_plan& plan) const;
--- a/packages/core/lib/direct/router.cpp
+++ b/packages/core/lib/direct/router.cpp
@@ -157,6 +157,18 @@
     return std::nullopt;
 }
 
+bool router::renew(time_point now, placement_decision& placement) const
+{
+    if (withheld(now, placement))
+        return false;
+    placement.fetch.reset();
+    placement.sent = time_point();
+    placement.reserved = false;
+    placement.request_load.has_first_token = false;
+    placement.request_load.prefill_starts_at = time_point::max();
+    return true;
+}
+
 bool router::may_fetch(time_point now, const fetch_plan& plan) const
 {
     const auto found = endpoints_.find(plan.source);
--- a/packages/core/unittests/direct_resume_test.cpp
+++ b/packages/core/unittests/direct_resume_test.cpp
@@ -195,6 +195,27 @@
     cr_expect(fix.refuse(start, old_release).reason == refusal::release_gone);
 }
 
+// Guards against an endpoint that is asked again after it has left, and against
+// work of the first attempt that stays in the ledger or counts twice.
+Test(direct_resume, an_endpoint_may_be_asked_again_until_it_leaves)
+{
+    instance fix;
+    request_profile request = fix.make_profile({{1, 400}});
+    placement_decision first = fix.place(start, old_release);
+    fix.tested_router.sent(start, request, first);
+    fix.tested_router.first_token(start, request, first, start);
+    fix.tested_router.finished(start, first, attempt_outcome::abandoned);
+    placement_decision again = first;
+    cr_assert(fix.tested_router.renew(start, again));
+    cr_expect(again.endpoint.boot == first.endpoint.boot);
+    cr_expect_not(again.request_load.has_first_token);
+    fix.tested_router.sent(start, request, again);
+    cr_expect_neq(again.request_load.number, first.request_load.number);
+    fix.tested_router.finished(start, again, attempt_outcome::abandoned);
+    fix.tested_router.note_leaving(start, first.endpoint);
+    cr_expect_not(fix.tested_router.renew(start, again));
+}
+
 // Guards against an update of an entry that is ignored because only the version
 // has changed.
 Test(direct_resume, a_changed_version_updates_an_entry)
--- a/test/standins/direct_engine.cpp
+++ b/test/standins/direct_engine.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <cerrno>
+#include <sys/socket.h>
 
 namespace standin
 {
@@ -46,6 +48,32 @@
     return stream.socket().remote_endpoint(error).port();
 }
 
+/// Whether the other side has closed or reset the connection.
+bool has_ended(beast::tcp_stream& stream)
+{
+    char byte = 0;
+    const ssize_t size = recv(stream.socket().native_handle(), &byte, 1,
+                              MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+/// Waits; returns false as soon as the connection has ended.
+asio::awaitable<bool> wait_while_open(beast::tcp_stream& stream,
+                                      std::chrono::milliseconds length)
+{
+    static constexpr std::chrono::milliseconds period{20};
+    const auto end = std::chrono::steady_clock::now() + length;
+    for (std::chrono::milliseconds left = length; left.count() > 0;
+         left = std::chrono::duration_cast<std::chrono::milliseconds>(
+             end - std::chrono::steady_clock::now()))
+    {
+        co_await sleep_for(std::min(left, period));
+        if (has_ended(stream))
+            co_return false;
+    }
+    co_return true;
+}
+
 long number_of(const request& asked, const char* name)
 {
     const std::string text(asked[name]);
@@ -156,6 +184,12 @@
     pause_ = length;
 }
 
+void direct_engine::set_delay(std::chrono::milliseconds length)
+{
+    const std::lock_guard lock(mutex_);
+    delay_ = length;
+}
+
 void direct_engine::set_padding(std::size_t bytes)
 {
     const std::lock_guard lock(mutex_);
@@ -329,7 +363,8 @@
     for (long id = run.last_event + 1; id <= events_; ++id)
     {
         const std::chrono::milliseconds gap = gap_before(id);
-        co_await sleep_for(gap);
+        if (!co_await wait_while_open(stream, gap))
+            co_return false;
         if (crashes_under(run, id))
         {
             crash(run);
@@ -432,14 +467,18 @@
     std::string boot;
     std::string before;
     std::string rest;
+    std::chrono::milliseconds delay{0};
     {
         const std::lock_guard lock(mutex_);
+        delay = delay_;
         boot = boot_;
         before = answer_before_;
         rest = rest_;
         arrivals_.push_back({run.attempt_id, std::chrono::steady_clock::now(),
                              leaving_, rest_time(rest)});
     }
+    if (!co_await wait_while_open(stream, delay))
+        co_return false;
     if (asked["Expect-Instance"] != boot)
     {
         response other = refusal(http::status::misdirected_request);
--- a/test/standins/direct_engine.hpp
+++ b/test/standins/direct_engine.hpp
@@ -144,6 +144,9 @@
     /// From now on each stream pauses before this event, and each other answer
     /// before it begins.
     void set_pause(long before_event, std::chrono::milliseconds length);
+    /// Takes or declines requests that much later from now on. One whose
+    /// connection has ended meanwhile is dropped.
+    void set_delay(std::chrono::milliseconds length);
     /// Events and other answers are that much longer from now on.
     void set_padding(std::size_t bytes);
     /// Sends in pieces of that size from now on, with a pause after each.
@@ -195,6 +198,7 @@
     long cut_at_ = 0;
     long paused_event_ = 0;
     std::chrono::milliseconds pause_{0};
+    std::chrono::milliseconds delay_{0};
     std::size_t padding_ = 0;
     std::size_t piece_size_ = 0;
     std::chrono::milliseconds piece_gap_{0};
