handover_ended: overlap_ms counts from the candidate's request, and is none before it

What operators saw: the overlap of a candidate that was never sent the request was counted from the attempt before. Cause: one moment served every attempt and was not reset. The log only; which endpoint goes on is unchanged.

--- a/packages/adapters/lib/direct/open_request.hpp
+++ b/packages/adapters/lib/direct/open_request.hpp
@@ -47,8 +47,8 @@
     /// endpoint was secured for that.
     std::optional<core::direct::placement_decision> next;
     core::direct::handover handover;
-    /// When the candidate of the handover was asked.
-    core::time_point candidate_asked;
+    /// When the candidate of the handover was sent the request; empty before.
+    std::optional<core::time_point> candidate_asked;
     /// Endpoint that may be asked again.
     std::optional<left_endpoint> left;
     /// Endpoints that it was sent to.
--- a/packages/adapters/lib/direct/request_log.cpp
+++ b/packages/adapters/lib/direct/request_log.cpp
@@ -264,9 +264,9 @@
          {"goes_on", outcome},
          {"event", cause},
          {"events", std::to_string(request.events.count())},
-         {"overlap_ms", request.candidate_asked == core::time_point()
-                            ? "none"
-                            : ms_text(now() - request.candidate_asked)},
+         {"overlap_ms", request.candidate_asked
+                            ? ms_text(now() - *request.candidate_asked)
+                            : "none"},
          {"after_ms", ms_text(now() - request.profile.arrived)}});
 }
 
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -479,6 +479,7 @@
     const bool is_first = request.asked.insert(endpoint).second;
     log_.placed(request, placed);
     streams_.sending(request, placed);
+    request.candidate_asked.reset();
     if (waiting_)
         request.handover.begin(waiting_->tried->answered());
     auto open = make_attempt(request, std::move(placed));
@@ -530,13 +531,14 @@
         };
     const auto sent = [this, &request]
     {
-        request.candidate_asked = now();
-        if (waiting_)
-            context_.limits.set(
-                waiting_limit_,
-                request.candidate_asked + core::direct::handover::max_overlap,
-                [this, &request]
-                { settle(request, handover_event::overlap_over); });
+        if (!waiting_)
+            return;
+        const core::time_point at = now();
+        request.candidate_asked = at;
+        context_.limits.set(waiting_limit_,
+                            at + core::direct::handover::max_overlap,
+                            [this, &request]
+                            { settle(request, handover_event::overlap_over); });
     };
     open->tried.emplace(
         context_,
--- a/packages/core/include/sycamorelock/core/direct/handover.hpp
+++ b/packages/core/include/sycamorelock/core/direct/handover.hpp
@@ -39,8 +39,8 @@
 ///
 /// An incumbent that has begun its answer is left only for a candidate that
 /// has accepted, when its connection ends, or when it stays silent while a
-/// second candidate is asked. One that has not begun may never have received
-/// the request, and is left at the end of the overlap.
+/// candidate is asked for the second time. One that has not begun may never
+/// have received the request, and is left at the end of the overlap.
 class handover
 {
   public:
