handover_ended: its cause has a field of its own

What operators saw: the line's number was overwritten, as "event" is the name of the number in every line. The field is "cause" now.

--- a/packages/adapters/lib/direct/request_log.cpp
+++ b/packages/adapters/lib/direct/request_log.cpp
@@ -262,7 +262,7 @@
         {{"request", request.meta.attempt_id},
          {"incumbent", incumbent.boot},
          {"goes_on", outcome},
-         {"event", cause},
+         {"cause", cause},
          {"events", std::to_string(request.events.count())},
          {"overlap_ms", request.candidate_asked
                             ? ms_text(now() - *request.candidate_asked)
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -173,7 +173,7 @@
                "after an answer that cannot be used."},
     event_kind{3017, info, "handover_ended",
                "A request's endpoint was silent and another one was asked; "
-               "`goes_on` tells which of them has the request, `event` why."},
+               "`goes_on` tells which of them has the request, `cause` why."},
     event_kind{3101, info, "endpoint_seen",
                "An endpoint registered or changed its entry."},
     event_kind{3102, info, "endpoint_drains",
