--- a/packages/core/include/sycamorelock/core/direct/handover.hpp
+++ b/packages/core/include/sycamorelock/core/direct/handover.hpp
@@ -34,8 +34,8 @@
 };
 std::string_view to_string(handover_result result);
 
-/// Handovers of one request, one at a time. To ask a candidate is to order the
-/// work, so that both may be at work until one of them is left.
+/// Handovers of one request, one at a time. The candidate is asked by sending
+/// it the request, so that both may work on it until one of them is left.
 ///
 /// An incumbent that has begun its answer is left only for a candidate that
 /// has accepted, when its connection ends, or when it stays silent while a
@@ -46,8 +46,9 @@
   public:
     using milliseconds = std::chrono::milliseconds;
 
-    /// Longest time for which two endpoints have the request. They may work on
-    /// it for 400 ms; the rest is for delays of this instance and its network.
+    /// Longest time for which two endpoints have the request. Work that is done
+    /// twice is bounded by 400 ms; the rest covers delays of this instance and
+    /// of the network.
     static constexpr milliseconds max_overlap{300};
 
     /// Records that a candidate is to be asked.
--- a/packages/core/lib/direct/handover.cpp
+++ b/packages/core/lib/direct/handover.cpp
@@ -1,4 +1,4 @@
-// A table of events, and what was left open by the handover before.
+// Transitions of a handover.
 #include "sycamorelock/core/direct/handover.hpp"
 
 namespace sycamorelock::core::direct
--- a/test/integration/handover_test.cpp
+++ b/test/integration/handover_test.cpp
@@ -233,8 +233,8 @@
     }
 }
 
-// Guards against the same where the pause is so long that the other endpoint is
-// asked twice, and declines after the first one has been left.
+// Guards against LOST: a stream whose pause is so long that the other endpoint
+// is asked twice, and declines after the first one has been left, is cut.
 Test(handover, a_stream_survives_two_limits_of_silence_and_a_late_refusal)
 {
     paused_request stream(milliseconds(1500));
