--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -102,7 +102,7 @@
     asio::awaitable<attempt_end> resume(milliseconds within);
     /// Ends an attempt that waits.
     attempt_end give_up();
-    /// The same, as the connection has ended.
+    /// Ends an attempt that waits and whose connection has ended.
     attempt_end end_with_connection();
 
     /// Resets the connection, so that the endpoint does not get the request
@@ -183,7 +183,7 @@
     void expect_connection();
     /// Looks for another endpoint if nothing is read of this one by then.
     void expect_within(milliseconds time);
-    /// The same, for this once.
+    /// The same, for the next read only.
     void set_silence_limit(milliseconds time);
     void on_silence(milliseconds limit);
     /// Ends the wait for the endpoint by closing the connection.
--- a/packages/adapters/lib/direct/request_session.cpp
+++ b/packages/adapters/lib/direct/request_session.cpp
@@ -3,6 +3,7 @@
 
 #include "termination_check.hpp"
 
+#include "../at_scope_end.hpp"
 #include "../scoped_count.hpp"
 #include "../socket_state.hpp"
 
@@ -53,19 +54,6 @@
     return end != attempt_end::unreachable && end != attempt_end::withheld;
 }
 
-/// Calls a function at the end of a scope, also when an exception leaves it.
-template <class Function> class at_scope_end
-{
-  public:
-    explicit at_scope_end(Function function) : function_(std::move(function)) {}
-    ~at_scope_end() { function_(); }
-    at_scope_end(const at_scope_end&) = delete;
-    at_scope_end& operator=(const at_scope_end&) = delete;
-
-  private:
-    Function function_;
-};
-
 /// Whether an attempt that ended so may have begun to run the request.
 bool may_have_run(attempt_end end)
 {
--- a/packages/adapters/lib/direct/request_session.hpp
+++ b/packages/adapters/lib/direct/request_session.hpp
@@ -109,6 +109,7 @@
     /// its silence only.
     [[nodiscard]] std::optional<core::direct::placement_decision>
     place_again(open_request& request, attempt_end after, bool is_silent);
+    /// The endpoint that the last handover left, if it may be asked again.
     [[nodiscard]] std::optional<core::direct::placement_decision>
     place_where_left(const open_request& request, bool is_silent) const;
     asio::awaitable<void> answer_failure(open_request& request,
--- a/test/integration/handover_test.cpp
+++ b/test/integration/handover_test.cpp
@@ -141,7 +141,8 @@
         decline_late(surroundings::calm, milliseconds(delay));
 }
 
-// Guards against the same around planned work.
+// Guards against LOST around a SIGTERM, a SIGHUP or a new configuration: the
+// stream was cut because another endpoint took over 100 ms to decline it.
 Test(handover, a_paused_stream_survives_a_late_refusal_around_planned_work)
 {
     for (const surroundings what : {surroundings::sigterm, surroundings::sighup,
@@ -149,8 +150,8 @@
         decline_late(what, milliseconds(250));
 }
 
-// Guards against the same where the other endpoint answers that it is another
-// one.
+// Guards against LOST: a paused stream was cut because another endpoint
+// answered late that it is a different instance.
 Test(handover, a_paused_stream_survives_a_late_misdirection)
 {
     paused_request stream(long_pause);
@@ -159,7 +160,8 @@
     stream.expect_whole_stream();
 }
 
-// Guards against the same where the other endpoint closes without an answer.
+// Guards against LOST: a paused stream was cut because another endpoint closed
+// the connection late and without an answer.
 Test(handover, a_paused_stream_survives_a_late_close)
 {
     paused_request stream(long_pause);
@@ -168,8 +170,9 @@
     stream.expect_whole_stream();
 }
 
-// Guards against the same where the other endpoint never answers, and against
-// two that work on one request.
+// Guards against LOST: a paused stream was cut because another endpoint took
+// the request and never answered. Both may not work on it for longer than
+// allowed.
 Test(handover, a_paused_stream_survives_an_endpoint_that_never_answers)
 {
     paused_request stream(long_pause);
@@ -183,8 +186,8 @@
     cr_expect(left);
 }
 
-// Guards against events of the first endpoint that were not read while another
-// one was asked.
+// Guards against LOST: a stream was cut although its endpoint sent an event
+// while another one was asked.
 Test(handover, an_event_that_comes_meanwhile_keeps_the_stream)
 {
     for (const int after : {80, 200})
@@ -197,8 +200,8 @@
     }
 }
 
-// Guards against a second pause of a stream that is not borne as the first one
-// was.
+// Guards against LOST in the second pause of a stream, after the only other
+// endpoint has declined it in the first one.
 Test(handover, a_stream_survives_a_second_pause)
 {
     paused_request stream(long_pause);
@@ -244,8 +247,8 @@
     stream.expect_whole_stream();
 }
 
-// Guards against an answer without events that is thrown away while another
-// endpoint is asked, though a part of it had arrived.
+// Guards against a 502 for an answer without events of which a part had arrived
+// when another endpoint was asked, and declined.
 Test(handover, a_paused_answer_survives_a_late_refusal)
 {
     paused_request request("/look/1");
@@ -263,7 +266,8 @@
     cr_expect_eq(request.fleet().runs_of(request.asked().id), 1);
 }
 
-// Guards against the same before an answer begins.
+// Guards against a 502 for an answer that had not begun when another endpoint
+// was asked, and declined.
 Test(handover, a_late_answer_survives_a_late_refusal)
 {
     paused_request request("/look/1");
@@ -277,8 +281,8 @@
     cr_expect_eq(request.fleet().runs_of(request.asked().id), 1);
 }
 
-// Guards against a failure that is answered because the other endpoint declined
-// after the first one had been left.
+// Guards against a 502 because another endpoint declined after the first one
+// had been left for it.
 Test(handover, an_endpoint_that_was_left_is_asked_again_after_a_refusal)
 {
     paused_request request("/look/1");
