--- a/review/standins-2/deployment.hpp
+++ b/review/standins-2/deployment.hpp
@@ -220,7 +220,7 @@
         message_head made;
         std::istringstream in(text);
         std::getline(in, made.first_line);
-        if (!made.first_line.empty())
+        if (made.first_line.ends_with('\r'))
             made.first_line.pop_back();
         for (std::string line; std::getline(in, line) && line.size() > 1;)
         {
