--- a/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/traffic_metrics.hpp
@@ -85,6 +85,8 @@
     std::map<std::string, std::uint64_t> handovers;
     /// Answers given up as they had no end, by the part that had none.
     std::map<std::string, std::uint64_t> endless;
+    /// Answers that were not passed on, or cut, by why they must not be used.
+    std::map<std::string, std::uint64_t> answers_refused;
     /// Pieces of streams that were not the next event, by what they lacked.
     std::map<std::string, std::uint64_t> malformed_events;
     /// By how their release became known.
--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -80,6 +80,7 @@
     handler_failed = 3015,
     attempt_failed = 3016,
     handover_ended = 3017,
+    answer_refused = 3018,
     endpoint_seen = 3101,
     endpoint_draining = 3102,
     endpoint_gone = 3103,
--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -2,6 +2,7 @@
 #include "attempt.hpp"
 
 #include "../answer_limits.hpp"
+#include "../answer_reader.hpp"
 #include "../buffered_body.hpp"
 #include "../header_copy.hpp"
 #include "../local_shortage.hpp"
@@ -278,6 +279,11 @@
         why_ = "endless";
         note_endless();
     }
+    if (refusal_ != answer_error::none)
+    {
+        why_ = "answer_refused";
+        note_refused();
+    }
     return sending_ == nullptr ? attempt_end::unreachable : unfinished_end();
 }
 
@@ -351,7 +357,7 @@
                            channel_->buffer.size() == buffered_;
     if (!is_silent || !request_.secure_next(unfinished_end()))
         expect_within(awaited_);
-    else if (skipping_ || !*sent_)
+    else if (skipping_ || !is_sent())
         // Its state does not outlive a cancelled operation.
         give_up_silent();
     else
@@ -400,6 +406,20 @@
                         {"part", std::string(endless_)}});
 }
 
+void attempt::note_refused()
+{
+    const std::string reason(to_string(refusal_));
+    ++context_.metrics.answers_refused[reason];
+    context_.log.write(direct_event::answer_refused,
+                       {{"request", request_.meta.attempt_id},
+                        {"endpoint", placed_.endpoint.boot},
+                        {"reason", reason},
+                        {"detail", refusal_detail_},
+                        {"status", std::to_string(status_)},
+                        {"body_bytes", std::to_string(body_bytes_)},
+                        {"reused", is_reused_ ? "yes" : "no"}});
+}
+
 void attempt::note_malformed()
 {
     const std::string fault(to_string(events_.fault()));
@@ -481,12 +501,13 @@
     sending_->body() = {asked.body().data(), asked.body().size()};
     sending_->prepare_payload();
     sent_at_ = now();
-    sent_ = std::make_shared<bool>(false);
+    exchange_ = std::make_shared<core::exchange_end>();
     // The answer may come before the request is sent in full, so both go on at
     // the same time. The message lives as long as the write.
     http::async_write(channel_->socket, *sending_,
-                      [message = sending_, done = sent_](
-                          error_code error, std::size_t) { *done = !error; });
+                      [message = sending_,
+                       exchange = exchange_](error_code error, std::size_t)
+                      { exchange->on_write(!error); });
     context_.router.written(now(), placed_);
     request_.sent();
     if (placed_.leaves_domain)
@@ -517,7 +538,10 @@
             error == http::error::buffer_overflow)
             endless_ = "header";
         if (error)
+        {
+            refuse(error);
             co_return std::nullopt;
+        }
         note_read();
         const auto& header = parser_->get();
         const auto kind = http::to_status_class(header.result_int());
@@ -548,6 +572,26 @@
     co_return std::nullopt;
 }
 
+void attempt::refuse(const error_code& error)
+{
+    // This side has closed the connection.
+    if (abandoned_ || withdrawn_)
+        return;
+    refusal_ = answer_error_of(error);
+    if (refusal_ == answer_error::none)
+        return;
+    const bool is_reset = refusal_ == answer_error::reset;
+    refusal_detail_ =
+        is_reset ? to_string(exchange_->completion()) : error.message();
+    // An endpoint that resets the connection may have crashed.
+    malformed_ = malformed_ || !is_reset;
+}
+
+bool attempt::is_sent() const
+{
+    return exchange_ && exchange_->write() == core::request_write::written;
+}
+
 bool attempt::is_late(const answer_meta& answer) const
 {
     return !answer.attempt_id.empty() &&
@@ -631,6 +675,11 @@
     if (error == http::error::buffer_overflow)
         endless_ = "framing";
     body_bytes_ += piece_size_;
+    if (error)
+        exchange_->on_read_error();
+    else if (parser_->is_done() && parser_->need_eof())
+        error = co_await await_completion(channel_->socket, *exchange_);
+    refuse(error);
     if (read_bytes_ > max_answer_body)
     {
         endless_ = "body";
@@ -851,7 +900,7 @@
     // answer that ends with its connection, a stream that was none, an answer
     // whose late copy could not be told from the next one.
     const bool clean = !abandoned_ && !silent_ && !malformed_ && is_named_ &&
-                       sent_ && *sent_ && parser_ && parser_->is_done() &&
+                       is_sent() && parser_ && parser_->is_done() &&
                        parser_->keep_alive() && channel_->buffer.size() == 0;
     if (!clean)
     {
--- a/packages/adapters/lib/direct/attempt.hpp
+++ b/packages/adapters/lib/direct/attempt.hpp
@@ -6,7 +6,9 @@
 
 #include "../socket_state.hpp"
 
+#include "sycamorelock/adapters/answer_error.hpp"
 #include "sycamorelock/adapters/event_stream.hpp"
+#include "sycamorelock/core/exchange_end.hpp"
 
 #include <functional>
 #include <optional>
@@ -87,7 +89,8 @@
     [[nodiscard]] bool waits() const { return waits_; }
     /// Whether it has been left because nothing was read of its endpoint.
     [[nodiscard]] bool is_silent() const { return silent_; }
-    /// Whether the endpoint sent something that is not the stream's next event.
+    /// Whether the endpoint sent something that is no answer, or not the
+    /// stream's next event.
     [[nodiscard]] bool is_malformed() const { return malformed_; }
     /// Limit on the endpoint's silence.
     [[nodiscard]] milliseconds silence_limit() const { return awaited_; }
@@ -175,8 +178,14 @@
     attempt_end stopped(std::string_view why);
     /// Tells that a part of the answer was longer than it may be.
     void note_endless();
+    /// Takes in why an answer must not be used, if that is what an error says.
+    void refuse(const error_code& error);
+    /// Tells that the answer is refused.
+    void note_refused();
     /// Tells that the answer held something that is not the next event.
     void note_malformed();
+    /// Whether the whole request has been written.
+    [[nodiscard]] bool is_sent() const;
     /// How an attempt ends whose answer stops here.
     [[nodiscard]] attempt_end unfinished_end() const;
     /// Ends the attempt if there is no connection by then.
@@ -210,7 +219,8 @@
     event_splitter& events_;
     std::unique_ptr<endpoint_channel> channel_;
     std::shared_ptr<request_out> sending_;
-    std::shared_ptr<bool> sent_;
+    /// Shared with the write of the request, which may outlast the attempt.
+    std::shared_ptr<core::exchange_end> exchange_;
     std::unique_ptr<answer_parser> parser_;
     std::array<char, 16 * 1024> piece_;
     std::size_t piece_size_ = 0;
@@ -220,6 +230,9 @@
     std::uint64_t read_bytes_ = 0;
     /// Part of the answer that was longer than it may be; empty for none.
     std::string_view endless_;
+    /// Why the answer must not be used.
+    answer_error refusal_ = answer_error::none;
+    std::string refusal_detail_;
     /// Events of the stream that earlier attempts brought.
     std::uint64_t events_before_ = 0;
     held_answer held_;
--- a/packages/adapters/lib/direct/traffic_metrics.cpp
+++ b/packages/adapters/lib/direct/traffic_metrics.cpp
@@ -90,6 +90,10 @@
              "Answers of endpoints that were given up, by the part that was "
              "longer than it may be.",
              endless);
+    labelled(out, "answers_refused_total", "reason",
+             "Answers of endpoints that were not passed on, or cut, by why "
+             "they must not be used.",
+             answers_refused);
     labelled(out, "malformed_events_total", "fault",
              "Pieces of streams that were not the next event, by what was "
              "wrong with them.",
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -174,6 +174,9 @@
     event_kind{3017, info, "handover_ended",
                "A request's endpoint was silent and another one was asked; "
                "`goes_on` tells which of them has the request, `cause` why."},
+    event_kind{3018, warn, "answer_refused",
+               "An endpoint's answer was not passed on, or cut; `reason` tells "
+               "why it must not be used, `detail` what decided it."},
     event_kind{3101, info, "endpoint_seen",
                "An endpoint registered or changed its entry."},
     event_kind{3102, info, "endpoint_drains",
--- a/packages/adapters/lib/socket_state.hpp
+++ b/packages/adapters/lib/socket_state.hpp
@@ -4,6 +4,7 @@
 #include "http.hpp"
 
 #include <poll.h>
+#include <sys/ioctl.h>
 
 namespace sycamorelock::adapters
 {
@@ -53,6 +54,22 @@
     return poll(&state, 1, 0) > 0 && (state.revents & (POLLERR | POLLHUP)) == 0;
 }
 
+/// Whether a connection still has its peer. One that was reset has none, even
+/// if another operation has taken the error.
+inline bool has_peer(const tcp::socket& socket)
+{
+    error_code error;
+    (void)socket.remote_endpoint(error);
+    return !error;
+}
+
+/// Bytes written that the peer has not acknowledged. 0 if that cannot be told.
+inline int unacknowledged_bytes(tcp::socket& socket)
+{
+    int bytes = 0;
+    return ioctl(socket.native_handle(), TIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
 inline bool is_quiet(tcp::socket& socket)
 {
     return look_at(socket) == socket_state::quiet;
--- a/test/standins/direct_fleet.cpp
+++ b/test/standins/direct_fleet.cpp
@@ -148,6 +148,9 @@
         add_route(plain_.back()->address());
         list_plain(i);
     }
+    for (const other_endpoint& each : plan_.others)
+        store_->put("servers/" + each.boot,
+                    entry(each.address, each.service.c_str(), "ready"));
     for (std::size_t i = 0; i < plan_.instances; ++i)
     {
         direct_instance made;
--- a/test/standins/direct_fleet.hpp
+++ b/test/standins/direct_fleet.hpp
@@ -30,6 +30,14 @@
     [[nodiscard]] std::string metrics_address() const { return ip + ":9100"; }
 };
 
+/// An endpoint that is none of the fleet's own.
+struct other_endpoint
+{
+    std::string boot;
+    std::string address;
+    std::string service;
+};
+
 struct direct_plan
 {
     std::size_t instances = 2;
@@ -49,6 +57,7 @@
     bool proxied = false;
     /// Software versions of the engines in order; the others are of "v1".
     std::vector<std::string> versions{};
+    std::vector<other_endpoint> others{};
     /// What callers may send, as the configuration has it.
     std::string limits = R"("max_header_bytes":8192,"max_body_bytes":200000,
 "header_timeout_ms":700,"idle_timeout_ms":5000)";
