--- a/packages/adapters/include/sycamorelock/adapters/event_log.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/event_log.hpp
@@ -57,6 +57,7 @@
     event_malformed = 1303,
     session_failed = 1304,
     handler_failed = 1305,
+    answer_refused = 1306,
     invariant_answer_mixed = 1901,
 };
 
--- a/packages/adapters/include/sycamorelock/adapters/metrics.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/metrics.hpp
@@ -1,6 +1,7 @@
 // Distributions and counters of the data plane, recorded by any thread.
 #pragma once
 
+#include "sycamorelock/adapters/answer_error.hpp"
 #include "sycamorelock/adapters/caller_metrics.hpp"
 #include "sycamorelock/adapters/listener_metrics.hpp"
 #include "sycamorelock/core/messages.hpp"
@@ -48,6 +49,9 @@
     std::atomic<std::uint64_t> endpoint_connects{0};
     /// Answers given up as a part of them had no end.
     std::atomic<std::uint64_t> endpoint_endless{0};
+    /// Answers that were not passed on, or cut, by `answer_error`.
+    std::array<std::atomic<std::uint64_t>, answer_error_count>
+        answers_refused{};
     /// Answers given up as a part of their stream was no event.
     std::atomic<std::uint64_t> malformed_events{0};
     std::atomic<std::uint64_t> platform_bytes{0};
--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -532,8 +532,8 @@
             if (request_.message.method() == http::verb::head)
                 parser_->skip(true);
         }
-        auto [error, bytes] = co_await http::async_read_header(
-            channel_->socket, channel_->buffer, *parser_, as_result);
+        const error_code error = co_await read_answer_header(
+            channel_->socket, channel_->buffer, *parser_);
         if (error == http::error::header_limit ||
             error == http::error::buffer_overflow)
             endless_ = "header";
@@ -544,10 +544,8 @@
         }
         note_read();
         const auto& header = parser_->get();
-        const auto kind = http::to_status_class(header.result_int());
-        if (kind == http::status_class::unknown)
-            co_return std::nullopt;
-        if (kind == http::status_class::informational)
+        if (http::to_status_class(header.result_int()) ==
+            http::status_class::informational)
         {
             parser_.reset();
             continue;
--- a/packages/adapters/lib/direct/store_watch.cpp
+++ b/packages/adapters/lib/direct/store_watch.cpp
@@ -5,6 +5,7 @@
 #include "../http.hpp"
 
 #include "sycamorelock/adapters/clocks.hpp"
+#include "sycamorelock/adapters/document_reader.hpp"
 
 #include <optional>
 #include <random>
@@ -294,11 +295,9 @@
             co_await http::async_write(*stream_, request, as_result);
         if (unsent)
             co_return std::nullopt;
-        http::response_parser<http::string_body> parser;
+        document_parser parser;
         parser.body_limit(max_answer);
-        auto [failed, received] =
-            co_await http::async_read(*stream_, buffer_, parser, as_result);
-        if (failed)
+        if (co_await read_document(*stream_, buffer_, parser))
             co_return std::nullopt;
         const bool keep = parser.keep_alive();
         response answer = parser.release();
--- a/packages/adapters/lib/endpoint_call.cpp
+++ b/packages/adapters/lib/endpoint_call.cpp
@@ -2,6 +2,7 @@
 #include "endpoint_call.hpp"
 
 #include "answer_limits.hpp"
+#include "answer_reader.hpp"
 #include "buffered_body.hpp"
 #include "header_copy.hpp"
 #include "local_shortage.hpp"
@@ -181,16 +182,18 @@
         parser_->body_limit(boost::none);
         if (context_.request.method() == http::verb::head)
             parser_->skip(true);
-        auto [error, bytes] = co_await http::async_read_header(
-            *stream_, buffer_, *parser_, as_result);
+        const error_code error =
+            co_await read_answer_header(*stream_, buffer_, *parser_);
         has_broken_ = is_broken_connection(error);
-        if (error == http::error::header_limit)
+        if (error == http::error::header_limit ||
+            error == http::error::buffer_overflow)
             note_endless("header");
+        note_refused(error);
         if (error)
             co_return false;
-        const auto status = http::to_status_class(parser_->get().result_int());
-        if (status != http::status_class::informational)
-            co_return status != http::status_class::unknown;
+        if (http::to_status_class(parser_->get().result_int()) !=
+            http::status_class::informational)
+            co_return true;
     }
     note_endless("headers");
     co_return false;
@@ -204,6 +207,21 @@
         {{"request", to_string(order_.request)}, {"part", std::string(part)}});
 }
 
+void endpoint_call::note_refused(const error_code& error)
+{
+    const answer_error reason = answer_error_of(error);
+    if (reason == answer_error::none)
+        return;
+    ++context_.control.traffic().answers_refused.at(
+        static_cast<std::size_t>(reason));
+    context_.control.log().write(process_event::answer_refused,
+                                 {{"request", to_string(order_.request)},
+                                  {"reason", std::string(to_string(reason))},
+                                  {"detail", error.message()},
+                                  {"body_bytes", std::to_string(body_bytes_)},
+                                  {"reused", pooled_ ? "yes" : "no"}});
+}
+
 bool endpoint_call::answers_this_request() const
 {
     const auto named = parser_->get()["X-Request-Id"];
@@ -316,6 +334,7 @@
             has_broken_ = is_broken_connection(error);
             if (error == http::error::buffer_overflow)
                 note_endless("framing");
+            note_refused(error);
             co_return attempt_end::failed_in_answer;
         }
         std::string_view bytes_read(piece.data(), piece.size() - body.size);
@@ -403,9 +422,11 @@
         co_return result(attempt_end::failed_before_answer);
     }
     // The end of an answer without a length cannot be told from a cut.
-    const bool open_ended = parser_->need_eof();
-    if (open_ended)
+    if (parser_->need_eof())
+    {
+        note_refused(answer_error::unframed_body);
         co_return result(attempt_end::failed_before_answer);
+    }
     // Endpoints have no mark by which they could tell that nothing ran. Callers
     // repeat what may run often anyway.
     if (!context_.idempotent && promises_no_run(parser_->get().result_int()))
--- a/packages/adapters/lib/endpoint_call.hpp
+++ b/packages/adapters/lib/endpoint_call.hpp
@@ -73,6 +73,8 @@
     asio::awaitable<bool> write_piece(std::string_view bytes);
     /// Tells that a part of the answer was longer than it may be.
     void note_endless(std::string_view part);
+    /// Tells why an answer must not be used, if that is what an error says.
+    void note_refused(const error_code& error);
     /// Tells that the answer held something that is no event.
     void note_malformed();
     /// Whether the caller gets the answer in chunks.
--- a/packages/adapters/lib/event_log.cpp
+++ b/packages/adapters/lib/event_log.cpp
@@ -76,6 +76,9 @@
         1305, error, "handler_failed",
         "An unexpected error left a handler of a traffic thread; what the "
         "handler worked on has ended, the rest goes on."},
+    event_kind{1306, warn, "answer_refused",
+               "An endpoint's answer was not passed on, or cut; `reason` tells "
+               "why it must not be used."},
     event_kind{
         1901, error, "invariant_answer_mixed",
         "An endpoint's answer named another request; it was not passed on."},
--- a/packages/adapters/lib/report.cpp
+++ b/packages/adapters/lib/report.cpp
@@ -148,6 +148,14 @@
            "Answers of endpoints that were given up, as a part of them was "
            "longer than it may be.",
            number(traffic.endpoint_endless));
+    family(out, "answers_refused_total", "counter",
+           "Answers of endpoints that were not passed on, or cut, by why they "
+           "must not be used.");
+    for (std::size_t i = 1; i < answer_error_count; ++i)
+        sample(out, "answers_refused_total",
+               label("reason",
+                     std::string(to_string(static_cast<answer_error>(i)))),
+               traffic.answers_refused.at(i));
     single(out, "malformed_events_total", "counter",
            "Pieces of streams that were no events.",
            number(traffic.malformed_events));
--- a/packages/adapters/lib/watchers.cpp
+++ b/packages/adapters/lib/watchers.cpp
@@ -4,6 +4,8 @@
 #include "answer_limits.hpp"
 #include "http.hpp"
 
+#include "sycamorelock/adapters/document_reader.hpp"
+
 #include <boost/json/parse.hpp>
 
 #include <map>
@@ -42,11 +44,9 @@
     if (unsent)
         co_return std::nullopt;
     beast::flat_buffer buffer(max_unparsed);
-    http::response_parser<http::string_body> parser;
+    document_parser parser;
     parser.body_limit(max_document_bytes);
-    auto [failed, received] =
-        co_await http::async_read(stream, buffer, parser, as_result);
-    if (failed)
+    if (co_await read_document(stream, buffer, parser))
         co_return std::nullopt;
     co_return parser.release();
 }
--- a/packages/cli/lib/operator_client.cpp
+++ b/packages/cli/lib/operator_client.cpp
@@ -1,13 +1,18 @@
 // One HTTP exchange with a time limit.
 #include "operator_client.hpp"
 
-#include <boost/asio/connect.hpp>
+#include "sycamorelock/adapters/document_reader.hpp"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include <exception>
 #include <stdexcept>
 
 namespace sycamorelock
@@ -23,6 +28,7 @@
 using boost::system::error_code;
 
 constexpr std::chrono::seconds time_limit{10};
+constexpr auto as_result = asio::as_tuple(asio::use_awaitable);
 
 tcp::endpoint parse(const std::string& address)
 {
@@ -37,6 +43,23 @@
     return {ip, static_cast<std::uint16_t>(port)};
 }
 
+/// Connects, writes the request and reads the answer.
+asio::awaitable<error_code> exchange(beast::tcp_stream& stream,
+                                     tcp::endpoint to,
+                                     http::request<http::empty_body>& request,
+                                     adapters::document_parser& answer)
+{
+    auto [unconnected] = co_await stream.async_connect(to, as_result);
+    if (unconnected)
+        co_return unconnected;
+    auto [unsent, sent] =
+        co_await http::async_write(stream, request, as_result);
+    if (unsent)
+        co_return unsent;
+    beast::flat_buffer buffer;
+    co_return co_await adapters::read_document(stream, buffer, answer);
+}
+
 } // namespace
 
 operator_answer ask_operator_port(const std::string& address,
@@ -51,33 +74,20 @@
     request.set(http::field::host, address);
     request.set(http::field::connection, "close");
     request.prepare_payload();
-    beast::flat_buffer buffer;
-    http::response<http::string_body> response;
+    adapters::document_parser answer;
     error_code result = asio::error::timed_out;
     // The synchronous calls of a tcp_stream have no time limit.
-    stream.async_connect(parse(address),
-                         [&](error_code connected)
-                         {
-                             result = connected;
-                             if (connected)
-                                 return;
-                             http::async_write(
-                                 stream, request,
-                                 [&](error_code sent, std::size_t)
-                                 {
-                                     result = sent;
-                                     if (sent)
-                                         return;
-                                     http::async_read(
-                                         stream, buffer, response,
-                                         [&](error_code read, std::size_t)
-                                         { result = read; });
-                                 });
-                         });
+    asio::co_spawn(context, exchange(stream, parse(address), request, answer),
+                   [&result](const std::exception_ptr& thrown, error_code ended)
+                   {
+                       if (thrown)
+                           std::rethrow_exception(thrown);
+                       result = ended;
+                   });
     context.run();
     if (result)
         throw std::runtime_error(address + ": " + result.message());
-    return {response.result_int(), response.body()};
+    return {answer.get().result_int(), answer.get().body()};
 }
 
 } // namespace sycamorelock
--- a/test/standins/endless.cpp
+++ b/test/standins/endless.cpp
@@ -12,7 +12,7 @@
 {
     static constexpr std::size_t block_size = 64 * 1024;
     std::string block;
-    while (block.size() < block_size)
+    while (block.size() < block_size && !what.again.empty())
         block += what.again;
     std::string next = what.begin + block;
     for (std::size_t own = 0; own < most_endless_bytes;)
@@ -21,7 +21,7 @@
             co_await asio::async_write(stream, asio::buffer(next), as_result);
         own += bytes;
         sent += bytes;
-        if (error)
+        if (error || block.empty())
             co_return;
         next = block;
     }
--- a/test/standins/endless.hpp
+++ b/test/standins/endless.hpp
@@ -12,8 +12,8 @@
 {
     /// Sent once.
     std::string begin;
-    /// Sent over and over.
-    std::string again;
+    /// Sent over and over; empty to send `begin` only.
+    std::string again{};
 };
 
 /// Ends a stand-in that would otherwise send for ever.
--- a/test/standins/platform.cpp
+++ b/test/standins/platform.cpp
@@ -1,6 +1,8 @@
 // Documents by version with long polling.
 #include "platform.hpp"
 
+#include <boost/asio/write.hpp>
+
 namespace standin
 {
 
@@ -41,6 +43,12 @@
     stale_members_ = members_;
 }
 
+void platform::set_answer(const std::string& bytes)
+{
+    const std::lock_guard lock(mutex_);
+    answer_ = bytes;
+}
+
 platform::held platform::current(bool members)
 {
     const std::lock_guard lock(mutex_);
@@ -59,9 +67,16 @@
     for (;;)
     {
         platform_mode mode = platform_mode::up;
+        std::string bytes;
         {
             const std::lock_guard lock(mutex_);
             mode = mode_;
+            bytes = answer_;
+        }
+        if (!bytes.empty())
+        {
+            co_await asio::async_write(stream, asio::buffer(bytes), as_result);
+            co_return false;
         }
         if (mode == platform_mode::down)
             co_return false;
--- a/test/standins/platform.hpp
+++ b/test/standins/platform.hpp
@@ -28,6 +28,8 @@
     void publish_config(std::uint64_t version, std::string text);
     void publish_members(std::uint64_t version, std::string text);
     void set_mode(platform_mode mode);
+    /// Sends these bytes instead of answers from now on; none if empty.
+    void set_answer(const std::string& bytes);
 
   private:
     struct held
@@ -40,6 +42,7 @@
 
     std::mutex mutex_;
     platform_mode mode_ = platform_mode::up;
+    std::string answer_;
     held config_;
     held members_;
     held stale_config_;
