A success without the replica's seal was passed on (MIXED)

What callers saw: a 2xx without Server-Seal, or with an empty one, as an answer of their request.

Cause: nobody asked for the field. It is copied like any other.

Fix: the platform's dialect says which successes lack the proof of their origin (answer_meta::is_unsigned_success); direct routing refuses these like other answers that must not be used. A dialect without such a field changes nothing.

Evidence: on the daemon of answer_heads/no_unsigned_success_reaches_a_caller failed for orders, repeatable answers and streams, with no seal and with an empty one; here it passes.

--- a/packages/adapters/include/sycamorelock/adapters/direct/dialect.hpp
+++ b/packages/adapters/include/sycamorelock/adapters/direct/dialect.hpp
@@ -67,6 +67,9 @@
     bool not_run = false;
     /// Another endpoint has the address.
     bool wrong_endpoint = false;
+    /// A success that lacks the proof of its origin. Never set if the dialect
+    /// asks for none.
+    bool is_unsigned_success = false;
     /// The endpoint says that it leaves.
     bool leaving = false;
     /// The endpoint wants no requests from this instance for so long; zero if
--- a/packages/adapters/lib/direct/attempt.cpp
+++ b/packages/adapters/lib/direct/attempt.cpp
@@ -721,6 +721,11 @@
     }
     if (is_unnamed_success(*meta))
         co_return stopped("unnamed_answer");
+    if (meta->is_unsigned_success)
+    {
+        refuse(answer_error::unsigned_success);
+        co_return stopped("no_answer");
+    }
     // Only the mark tells that an endpoint did not run the request. Callers
     // repeat what may run often anyway.
     if (promises_no_run(status_) &&
--- a/test/integration/answer_heads_test.cpp
+++ b/test/integration/answer_heads_test.cpp
@@ -138,6 +138,24 @@
     }
 }
 
+// Guards against MIXED: a success without the replica's seal was passed on.
+Test(answer_heads, no_unsigned_success_reaches_a_caller)
+{
+    service_with_fault desk(false);
+    service_with_fault planner(true);
+    direct_fleet fleet(plan_of({&desk, &planner}));
+    const std::vector<forbidden_head> heads{
+        {.name = "no seal", .lacks_seal = true},
+        {.name = "empty seal",
+         .before = "Server-Seal:\r\n",
+         .lacks_seal = true}};
+    for (const forbidden_head& each : heads)
+        check_callers(fleet, each, desk, planner);
+    cr_expect(fleet.says(
+        fleet.at(0),
+        "sycamorelock_answers_refused_total{reason=\"unsigned_success\"} 6"));
+}
+
 // Guards against MIXED in scheduled routing.
 Test(answer_heads, no_forbidden_head_reaches_a_scheduled_caller)
 {
