--- a/packages/adapters/lib/answer_reader.hpp
+++ b/packages/adapters/lib/answer_reader.hpp
@@ -16,10 +16,11 @@
 namespace sycamorelock::adapters
 {
 
-/// Whether a line before the end of a header begins with white space. The
-/// parser joins such a line to the one before.
-/// \param bytes a header from the beginning of a line on, maybe incomplete.
-/// \param from where to begin; lines before are known not to.
+/// Whether a header has a line that begins with white space. The parser joins
+/// such a line to the one before.
+/// \param bytes begin with a line of the header, and may end anywhere in it or
+/// behind it.
+/// \param from the search begins here.
 inline bool has_folded_line(std::string_view bytes, std::size_t from)
 {
     static constexpr std::string_view line_end = "\r\n";
--- a/test/integration/answer_heads_test.cpp
+++ b/test/integration/answer_heads_test.cpp
@@ -5,12 +5,10 @@
 #include "plans.hpp"
 #include "raw_endpoint.hpp"
 
-#include <array>
 #include <atomic>
 #include <cstdlib>
 
 using namespace standin;
-using std::chrono::milliseconds;
 
 namespace
 {
@@ -48,24 +46,18 @@
     return head.bytes(fields);
 }
 
-/// Two raw endpoints of a service; the first request meets the fault.
+/// The first request meets the fault, at either endpoint.
 class service_with_fault
 {
   public:
-    explicit service_with_fault(bool is_stream) : is_stream_(is_stream)
+    explicit service_with_fault(bool is_stream)
+        : is_stream_(is_stream),
+          endpoints_(is_stream ? "planner" : "desk",
+                     [this](const raw_request& asked) { return answer(asked); })
     {
-        for (auto& each : endpoints_)
-            each = std::make_unique<raw_endpoint>(
-                [this](const raw_request& asked) { return answer(asked); });
     }
     void arm(const forbidden_head& fault) { fault_ = &fault; }
-    void add_to(direct_plan& plan) const
-    {
-        for (std::size_t i = 0; i < endpoints_.size(); ++i)
-            plan.others.push_back(
-                {(is_stream_ ? "engine-" : "plain-") + std::to_string(i),
-                 endpoints_[i]->address(), is_stream_ ? "planner" : "desk"});
-    }
+    [[nodiscard]] const raw_service& endpoints() const { return endpoints_; }
 
   private:
     raw_answer answer(const raw_request& asked)
@@ -80,21 +72,9 @@
 
     bool is_stream_;
     std::atomic<const forbidden_head*> fault_{nullptr};
-    std::array<std::unique_ptr<raw_endpoint>, 2> endpoints_;
+    raw_service endpoints_;
 };
 
-/// One instance before such services.
-direct_plan plan_of(std::initializer_list<const service_with_fault*> services)
-{
-    direct_plan plan;
-    plan.instances = 1;
-    plan.engines = 0;
-    plan.plain = 0;
-    for (const service_with_fault* each : services)
-        each->add_to(plan);
-    return plan;
-}
-
 void check_callers(direct_fleet& fleet, const forbidden_head& head,
                    service_with_fault& desk, service_with_fault& planner)
 {
@@ -131,7 +111,8 @@
     {
         service_with_fault desk(false);
         service_with_fault planner(true);
-        direct_fleet fleet(plan_of({&desk, &planner}));
+        direct_fleet fleet(
+            raw_service::plan_of({&desk.endpoints(), &planner.endpoints()}));
         const std::size_t end = std::min(begin + at_once, all.size());
         for (std::size_t i = begin; i < end; ++i)
             check_callers(fleet, all[i], desk, planner);
@@ -143,7 +124,8 @@
 {
     service_with_fault desk(false);
     service_with_fault planner(true);
-    direct_fleet fleet(plan_of({&desk, &planner}));
+    direct_fleet fleet(
+        raw_service::plan_of({&desk.endpoints(), &planner.endpoints()}));
     const std::vector<forbidden_head> heads{
         {.name = "no seal", .lacks_seal = true},
         {.name = "empty seal",
@@ -184,7 +166,7 @@
 // Guards the client of the store: an answer with such a head was believed.
 Test(answer_heads, no_forbidden_head_of_the_store_is_believed)
 {
-    direct_plan plan = plan_of({});
+    direct_plan plan = raw_service::plan_of({});
     plan.plain = 1;
     for (const forbidden_head& each : forbidden_heads())
     {
--- a/test/integration/early_answers_test.cpp
+++ b/test/integration/early_answers_test.cpp
@@ -35,25 +35,17 @@
     return body;
 }
 
-/// A service of two raw endpoints. The one that is asked first gives the early
-/// answer, the other one reads on and answers with a framed body.
+/// The endpoint that is asked first gives the early answer, the other one reads
+/// on and answers with a framed body.
 class service_with_fault
 {
   public:
     /// \param stream whether the answers are streams.
-    explicit service_with_fault(bool stream) : stream_(stream)
+    explicit service_with_fault(bool stream)
+        : stream_(stream),
+          endpoints_(stream ? "planner" : "desk",
+                     [this](const raw_request& asked) { return answer(asked); })
     {
-        for (auto& each : endpoints_)
-            each = std::make_unique<raw_endpoint>(
-                [this](const raw_request& asked) { return answer(asked); });
-    }
-
-    void add_to(direct_plan& plan) const
-    {
-        for (std::size_t i = 0; i < endpoints_.size(); ++i)
-            plan.others.push_back(
-                {(stream_ ? "engine-" : "plain-") + std::to_string(i),
-                 endpoints_[i]->address(), stream_ ? "planner" : "desk"});
     }
 
     /// The next request meets the fault.
@@ -73,13 +65,7 @@
                        : plain_body(asked.attempt_id);
     }
 
-    [[nodiscard]] int answered(const std::string& attempt_id) const
-    {
-        int count = 0;
-        for (const auto& each : endpoints_)
-            count += each->answered(attempt_id);
-        return count;
-    }
+    [[nodiscard]] const raw_service& endpoints() const { return endpoints_; }
 
   private:
     raw_answer answer(const raw_request& asked) const
@@ -110,20 +96,15 @@
     std::size_t part_ = 0;
     milliseconds pause_{0};
     mutable std::atomic<bool> armed_{false};
-    std::array<std::unique_ptr<raw_endpoint>, 2> endpoints_;
+    raw_service endpoints_;
 };
 
-/// One instance before such services.
-direct_plan plan_of(std::initializer_list<const service_with_fault*> services)
+/// One instance that takes requests of 4 MB, before such services.
+direct_plan plan_of(std::initializer_list<const raw_service*> services)
 {
-    direct_plan plan;
-    plan.instances = 1;
-    plan.engines = 0;
-    plan.plain = 0;
+    direct_plan plan = raw_service::plan_of(services);
     plan.limits = R"("max_header_bytes":8192,"max_body_bytes":4194304,
 "header_timeout_ms":3000,"idle_timeout_ms":5000)";
-    for (const service_with_fault* each : services)
-        each->add_to(plan);
     return plan;
 }
 
@@ -185,7 +166,7 @@
 Test(early_answers, a_part_of_an_order_is_not_passed_on_as_whole)
 {
     service_with_fault desk(false);
-    direct_fleet fleet(plan_of({&desk}));
+    direct_fleet fleet(plan_of({&desk.endpoints()}));
     std::string id;
     for (const early_end& each : broken_ends({small_part, large_part}))
     {
@@ -196,7 +177,8 @@
         cr_expect(got.status == 502 || (may_begin && !got.whole),
                   "%s: status %u, whole %d, %zu bytes", text_of(each).c_str(),
                   got.status, got.whole, got.body.size());
-        cr_expect_eq(desk.answered(id), 1, "%s", text_of(each).c_str());
+        cr_expect_eq(desk.endpoints().answered(id), 1, "%s",
+                     text_of(each).c_str());
     }
 }
 
@@ -204,7 +186,7 @@
 Test(early_answers, a_part_of_a_repeatable_answer_is_replaced)
 {
     service_with_fault desk(false);
-    direct_fleet fleet(plan_of({&desk}));
+    direct_fleet fleet(plan_of({&desk.endpoints()}));
     std::string id;
     for (const early_end& each : broken_ends({small_part, large_part}))
     {
@@ -224,7 +206,7 @@
 Test(early_answers, a_part_of_a_stream_goes_on_elsewhere)
 {
     service_with_fault planner(true);
-    direct_fleet fleet(plan_of({&planner}));
+    direct_fleet fleet(plan_of({&planner.endpoints()}));
     // The end of an event. One in the middle is seen as torn.
     const std::size_t part = stream_body("c1", event_count / 2, 0).size();
     std::string id;
@@ -254,7 +236,7 @@
 {
     service_with_fault desk(false);
     service_with_fault planner(true);
-    direct_fleet fleet(plan_of({&desk, &planner}));
+    direct_fleet fleet(plan_of({&desk.endpoints(), &planner.endpoints()}));
     std::string id;
     for (const early_end& each : orderly_ends())
     {
@@ -269,7 +251,8 @@
                           got.body == service.body({id}),
                       "%s at %s: status %u, whole %d, %zu bytes", each.name,
                       path, got.status, got.whole, got.body.size());
-            cr_expect_eq(service.answered(id), 1, "%s at %s", each.name, path);
+            cr_expect_eq(service.endpoints().answered(id), 1, "%s at %s",
+                         each.name, path);
         }
     }
 }
--- a/test/standins/raw_endpoint.cpp
+++ b/test/standins/raw_endpoint.cpp
@@ -145,4 +145,34 @@
     co_return false;
 }
 
+raw_service::raw_service(std::string name, const raw_endpoint::handler& answer)
+    : name_(std::move(name)), endpoints_{raw_endpoint(answer),
+                                         raw_endpoint(answer)}
+{
+}
+
+direct_plan
+raw_service::plan_of(std::initializer_list<const raw_service*> services)
+{
+    direct_plan plan;
+    plan.instances = 1;
+    plan.engines = 0;
+    plan.plain = 0;
+    for (const raw_service* service : services)
+    {
+        for (const raw_endpoint& each : service->endpoints_)
+            plan.others.push_back({service->name_ + '-' + each.address(),
+                                   each.address(), service->name_});
+    }
+    return plan;
+}
+
+int raw_service::answered(const std::string& attempt_id) const
+{
+    int count = 0;
+    for (const raw_endpoint& each : endpoints_)
+        count += each.answered(attempt_id);
+    return count;
+}
+
 } // namespace standin
--- a/test/standins/raw_endpoint.hpp
+++ b/test/standins/raw_endpoint.hpp
@@ -2,8 +2,9 @@
 // the request, and ends its connections in any way.
 #pragma once
 
-#include "http_server.hpp"
+#include "direct_fleet.hpp"
 
+#include <array>
 #include <chrono>
 #include <functional>
 #include <mutex>
@@ -71,4 +72,23 @@
     tcp::acceptor acceptor_;
 };
 
+/// A service of two raw endpoints, which `direct_plan::others` lists.
+class raw_service
+{
+  public:
+    /// \param name of the service, also in the names of its endpoints.
+    raw_service(std::string name, const raw_endpoint::handler& answer);
+
+    /// One instance before these services and no other endpoints.
+    static direct_plan
+    plan_of(std::initializer_list<const raw_service*> services);
+
+    /// Requests that were answered, at both endpoints.
+    [[nodiscard]] int answered(const std::string& attempt_id) const;
+
+  private:
+    std::string name_;
+    std::array<raw_endpoint, 2> endpoints_;
+};
+
 } // namespace standin
